--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the tree at the root into build/ (or $BUILD_DIR); JOBS bounds the compilers.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_DIR:-build}
+cmake -S . -B "$build" -G Ninja ${CMAKE_FLAGS:-} >/dev/null
+ninja -C "$build" -j "${JOBS:-$(nproc)}" --quiet
--- /dev/null
+++ b/src/app/duty_thread.cc
@@ -0,0 +1,20 @@
+#include "app/duty_thread.h"
+
+#include <pthread.h>
+
+#include <utility>
+
+namespace papayaglade {
+
+duty_thread::~duty_thread() { Join(); }
+
+void duty_thread::Start(const std::string& name, std::function<void()> run) {
+  thread_ = std::thread(std::move(run));
+  pthread_setname_np(thread_.native_handle(), name.c_str());
+}
+
+void duty_thread::Join() {
+  if (thread_.joinable()) thread_.join();
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/app/serve_command.cc
@@ -0,0 +1,70 @@
+#include <glog/logging.h>
+#include <pthread.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "app/command.h"
+#include "app/server.h"
+#include "protocol/settings_codec.h"
+
+namespace papayaglade {
+
+namespace {
+
+// Blocks the shutdown signals before any thread starts, so that only
+// WaitForShutdownSignal receives them.
+sigset_t BlockShutdownSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+void WaitForShutdownSignal(const sigset_t& signals) {
+  int received = 0;
+  sigwait(&signals, &received);
+  LOG(INFO) << "event=shutdown signal=" << received;
+}
+
+}  // namespace
+
+exit_code RunServe(std::vector<std::string> arguments) {
+  TCLAP::CmdLine line("Runs one instance until it receives SIGTERM.", ' ',
+                      "0.1");
+  const TCLAP::ValueArg<std::string> file(
+      "s", "settings", "settings file of the instance", true, "", "FILE", line);
+  line.parse(arguments);
+  std::ifstream stream(file.getValue());
+  if (!stream) {
+    std::cerr << file.getValue() << ": cannot be read; name a readable file\n";
+    return exit_code::kBadInput;
+  }
+  std::stringstream text;
+  text << stream.rdbuf();
+  fault_list faults;
+  const instance_settings settings =
+      ParseSettings(file.getValue(), text.str(), faults);
+  for (const fault& each : faults) {
+    std::cerr << each.file << ": " << each.pointer << ": " << each.message
+              << "; " << each.remedy << "\n";
+  }
+  if (!faults.empty()) return exit_code::kBadInput;
+  const sigset_t signals = BlockShutdownSignals();
+  server instance(settings);
+  const std::string failed = instance.Start();
+  if (!failed.empty()) {
+    std::cerr << failed << "\n";
+    return exit_code::kFailed;
+  }
+  WaitForShutdownSignal(signals);
+  instance.Shutdown();
+  return exit_code::kDone;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/app/server.cc
@@ -0,0 +1,152 @@
+#include "app/server.h"
+
+#include <glog/logging.h>
+
+#include <future>
+#include <random>
+#include <utility>
+
+#include "app/control_duty.h"
+#include "app/router_duty.h"
+#include "app/steward_duty.h"
+#include "protocol/caller_codec.h"
+#include "transport/http_server.h"
+#include "transport/peer_links.h"
+#include "transport/platform_links.h"
+#include "transport/timer_thread.h"
+#include "transport/upstream_links.h"
+
+namespace papayaglade {
+
+namespace {
+
+constexpr std::size_t kRouterRing = 16384;
+constexpr std::size_t kStewardRing = 65536;
+constexpr std::size_t kControlRing = 16384;
+constexpr int kStatusNotFound = 404;
+constexpr std::chrono::milliseconds kQuietBeforeClose{500};
+
+instance_identity NewLife(const std::string& name) {
+  std::random_device entropy;
+  std::uniform_int_distribution<std::uint64_t> any(1, INT64_MAX);
+  return {name, any(entropy)};
+}
+
+}  // namespace
+
+class server::implementation {
+ public:
+  explicit implementation(const instance_settings& settings)
+      : settings_(settings),
+        self_(NewLife(settings.name)),
+        router_ring_(kRouterRing),
+        steward_ring_(kStewardRing),
+        control_ring_(kControlRing),
+        peers_(settings_, self_, router_ring_, steward_ring_, control_ring_),
+        platform_(settings_.platform, control_ring_, router_ring_),
+        upstreams_(steward_ring_),
+        router_(settings_, self_, timer_, peers_, platform_, steward_ring_,
+                router_ring_),
+        stewards_(settings_, self_, timer_, peers_, upstreams_, router_ring_,
+                  steward_ring_),
+        control_(settings_, self_, timer_, peers_, platform_, router_ring_,
+                 steward_ring_, control_ring_),
+        callers_("callers", settings_.limits,
+                 [this](http_request request, http_server::responder respond) {
+                   OnCaller(std::move(request), std::move(respond));
+                 }) {}
+
+  std::string Start() {
+    std::string failed = callers_.Listen(settings_.callers);
+    if (!failed.empty()) return BindFailure("callers", failed);
+    failed = peers_.Listen(settings_.peers);
+    if (!failed.empty()) return BindFailure("peers", failed);
+    timer_.Start();
+    upstreams_.Start();
+    platform_.Start();
+    stewards_.Start();
+    router_.Start();
+    control_.Start();
+    peers_.Start();
+    callers_.Start();
+    LOG(INFO) << "event=started instance=" << self_.name
+              << " incarnation=" << self_.incarnation;
+    return "";
+  }
+
+  void Shutdown() {
+    std::promise<void> drained;
+    callers_.Drain(kQuietBeforeClose, [&drained] { drained.set_value(); });
+    drained.get_future().wait_for(settings_.coordination.shutdown_bound);
+    callers_.Stop();
+    control_.Stop();
+    router_.Stop();
+    stewards_.Stop();
+    peers_.Stop();
+    platform_.Stop();
+    upstreams_.Stop();
+    timer_.Stop();
+  }
+
+ private:
+  static std::string BindFailure(const std::string& port,
+                                 const std::string& why) {
+    return "cannot listen for " + port + ": " + why +
+           "; give an address of this machine and a free port in /" + port;
+  }
+
+  void OnCaller(http_request request, http_server::responder respond) {
+    if (request.method != "POST" || request.target != "/query") {
+      http_response response =
+          FormatCallerError({error_kind::kInvalidInput, "target",
+                             "no such call", "use POST /query or GET /ready"});
+      response.status = kStatusNotFound;
+      return respond(std::move(response));
+    }
+    auto parsed = ParseCallerRequest(request.body);
+    if (const auto* cause = std::get_if<error>(&parsed)) {
+      return respond(FormatCallerError(*cause));
+    }
+    caller_event event;
+    event.request = std::get<caller_request>(std::move(parsed));
+    if (event.request.request_id.empty()) {
+      event.request.request_id = self_.name + "-" +
+                                 std::to_string(self_.incarnation) + "-" +
+                                 std::to_string(++last_request_);
+    }
+    event.arrival = timer_.Now();
+    event.reply = [respond](const caller_outcome& outcome) {
+      respond(FormatCallerOutcome(outcome));
+    };
+    if (router_ring_.TryPush(std::move(event))) return;
+    respond(FormatCallerError({error_kind::kOverloaded, "",
+                               "this instance has too many requests",
+                               "try again, or ask another instance"}));
+  }
+
+  const instance_settings settings_;
+  const instance_identity self_;
+  router_ring router_ring_;
+  steward_ring steward_ring_;
+  control_ring control_ring_;
+  timer_thread timer_;
+  peer_links peers_;
+  platform_links platform_;
+  upstream_links upstreams_;
+  router_duty router_;
+  steward_duty stewards_;
+  control_duty control_;
+  std::uint64_t last_request_ = 0;  // Only touched on the callers thread.
+  http_server callers_;
+};
+
+server::server(const instance_settings& settings)
+    : implementation_(std::make_unique<implementation>(settings)) {}
+
+server::~server() = default;
+
+std::string server::Start() { return implementation_->Start(); }
+
+void server::Shutdown() { implementation_->Shutdown(); }
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/app/version_command.cc
@@ -0,0 +1,12 @@
+#include <iostream>
+
+#include "app/command.h"
+
+namespace papayaglade {
+
+exit_code RunVersion(std::vector<std::string> /*arguments*/) {
+  std::cout << "papayaglade 0.1\n";
+  return exit_code::kDone;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/protocol/caller_codec.cc
@@ -0,0 +1,167 @@
+#include "protocol/caller_codec.h"
+
+#include <utility>
+
+#include "protocol/json_reader.h"
+
+namespace papayaglade {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kLongestDeadlineMs = 600'000;
+constexpr std::size_t kLongestLabel = 128;
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusTooLarge = 413;
+constexpr int kStatusBelowCoverage = 422;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusTimeout = 504;
+
+// Invalid UTF-8 from an upstream must not make an answer unprintable.
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void CheckLabel(json_reader& reader, const std::string& key,
+                const std::string& text) {
+  if (text.size() <= kLongestLabel) return;
+  reader.AddFault(key, "too long",
+                  "use at most " + std::to_string(kLongestLabel) + " bytes");
+}
+
+error FaultsToError(const fault_list& faults) {
+  error cause{error_kind::kInvalidInput, faults.front().pointer, "", ""};
+  for (const fault& each : faults) {
+    if (!cause.message.empty()) {
+      cause.message += "; ";
+      cause.remedy += "; ";
+    }
+    cause.message +=
+        (each.pointer.empty() ? "body" : each.pointer) + ": " + each.message;
+    cause.remedy += each.remedy;
+  }
+  return cause;
+}
+
+int StatusOf(error_kind kind) {
+  switch (kind) {
+    case error_kind::kInvalidInput:
+      return kStatusBadRequest;
+    case error_kind::kTooLarge:
+      return kStatusTooLarge;
+    case error_kind::kUnknownName:
+      return kStatusNotFound;
+    case error_kind::kConflict:
+      return kStatusConflict;
+    case error_kind::kBelowCoverage:
+      return kStatusBelowCoverage;
+    case error_kind::kOutcomeUnknown:
+      return kStatusTimeout;
+    case error_kind::kNotRun:
+    case error_kind::kOverloaded:
+    case error_kind::kUnavailable:
+    case error_kind::kDeadline:
+      return kStatusUnavailable;
+  }
+  return kStatusUnavailable;
+}
+
+http_response FormatFailure(const char* name, int status, const error& cause,
+                            const account& details) {
+  json body = {{"outcome", name}, {"error", ErrorToJson(cause)}};
+  body["account"] = AccountToJson(details);
+  return {status, "application/json", Dump(body)};
+}
+
+struct outcome_formatter {
+  http_response operator()(const answered& outcome) const {
+    json hits = json::array();
+    for (const hit& each : outcome.hits) {
+      hits.push_back(
+          {{"key", each.key}, {"score", each.score}, {"text", each.text}});
+    }
+    json body = {{"outcome", "answered"}};
+    body["hits"] = std::move(hits);
+    body["account"] = AccountToJson(outcome.details);
+    return {kStatusOk, "application/json", Dump(body)};
+  }
+  http_response operator()(const not_run& outcome) const {
+    return FormatFailure("not_run", StatusOf(outcome.cause.kind), outcome.cause,
+                         outcome.details);
+  }
+  http_response operator()(const outcome_unknown& outcome) const {
+    return FormatFailure("unknown", kStatusTimeout, outcome.cause,
+                         outcome.details);
+  }
+  http_response operator()(const below_coverage& outcome) const {
+    return FormatFailure("below_coverage", kStatusBelowCoverage, outcome.cause,
+                         outcome.details);
+  }
+};
+
+}  // namespace
+
+std::variant<caller_request, error> ParseCallerRequest(
+    const std::string& body) {
+  fault_list faults;
+  const json document = ParseJson(body, faults);
+  if (!faults.empty()) return FaultsToError(faults);
+  json_reader reader(document, "", faults);
+  caller_request request;
+  request.workload = reader.RequiredString("workload");
+  request.query = reader.RequiredString("query");
+  request.caller = reader.OptionalString("caller", "anonymous");
+  request.request_id = reader.OptionalString("request_id", "");
+  request.request_key = reader.OptionalString("request_key", "");
+  CheckLabel(reader, "workload", request.workload);
+  CheckLabel(reader, "caller", request.caller);
+  CheckLabel(reader, "request_id", request.request_id);
+  CheckLabel(reader, "request_key", request.request_key);
+  const auto deadline =
+      reader.MaybeInteger("deadline_ms", 1, kLongestDeadlineMs);
+  if (deadline.has_value()) {
+    request.deadline = std::chrono::milliseconds(*deadline);
+  }
+  request.minimum_coverage = reader.MaybeNumber("minimum_coverage", 0.0, 1.0);
+  reader.RefuseUnknownMembers();
+  if (!faults.empty()) return FaultsToError(faults);
+  return request;
+}
+
+http_response FormatCallerOutcome(const caller_outcome& outcome) {
+  return std::visit(outcome_formatter{}, outcome);
+}
+
+http_response FormatCallerError(const error& cause) {
+  const json body = {{"outcome", "not_run"}, {"error", ErrorToJson(cause)}};
+  return {StatusOf(cause.kind), "application/json", Dump(body)};
+}
+
+nlohmann::json AccountToJson(const account& details) {
+  json shards = json::array();
+  for (const shard_account& each : details.shards) {
+    shards.push_back({{"shard", each.shard},
+                      {"outcome", ShardOutcomeName(each.outcome)},
+                      {"reason", ShardReasonName(each.reason)},
+                      {"upstream", each.upstream},
+                      {"attempts", each.attempts},
+                      {"time_us", each.time.count()}});
+  }
+  return {{"request_id", details.request_id}, {"workload", details.workload},
+          {"snapshot", details.snapshot},     {"coverage", details.coverage},
+          {"retries", details.retries},       {"hedges", details.hedges},
+          {"restarts", details.restarts},     {"shards", std::move(shards)}};
+}
+
+nlohmann::json ErrorToJson(const error& cause) {
+  return {{"kind", ErrorKindName(cause.kind)},
+          {"field", cause.field},
+          {"message", cause.message},
+          {"remedy", cause.remedy}};
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/protocol/configuration_codec.cc
@@ -0,0 +1,291 @@
+#include "protocol/configuration_codec.h"
+
+#include <set>
+#include <utility>
+
+#include "protocol/json_reader.h"
+
+namespace papayaglade {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kMostSlots = 10'000;
+constexpr std::int64_t kMostPort = 65'535;
+constexpr std::int64_t kLongestDeadlineMs = 600'000;
+constexpr std::int64_t kMostResults = 10'000;
+constexpr double kMostExtraLoad = 0.05;
+constexpr double kLeastHedgePercentile = 0.5;
+constexpr double kMostHedgePercentile = 0.9999;
+
+request_class ReadClass(json_reader& reader) {
+  const std::string name = reader.OptionalString("class", "counter");
+  for (const request_class each :
+       {request_class::kCounter, request_class::kFull,
+        request_class::kArchive}) {
+    if (name == RequestClassName(each)) return each;
+  }
+  reader.AddFault("class", "unknown class \"" + name + "\"",
+                  "use counter, full or archive");
+  return request_class::kCounter;
+}
+
+coverage_policy ReadCoverage(json_reader reader, milliseconds deadline) {
+  coverage_policy policy;
+  policy.minimum = reader.OptionalNumber("minimum", 1.0, 0.0, 1.0);
+  policy.settle_at =
+      reader.OptionalNumber("settle_at", 1.0, policy.minimum, 1.0);
+  policy.settle_after = milliseconds(reader.OptionalInteger(
+      "settle_after_ms", deadline.count(), 0, deadline.count()));
+  reader.RefuseUnknownMembers();
+  return policy;
+}
+
+workload ReadWorkload(json_reader& reader) {
+  workload result;
+  result.name = reader.RequiredString("name");
+  result.priority = ReadClass(reader);
+  result.repeatable = reader.OptionalBool("repeatable", true);
+  result.deadline = milliseconds(
+      reader.RequiredInteger("deadline_ms", 1, kLongestDeadlineMs));
+  result.coverage = ReadCoverage(reader.Object("coverage"), result.deadline);
+  result.hedging = reader.OptionalBool("hedging", result.repeatable);
+  result.hedge_percentile =
+      reader.OptionalNumber("hedge_percentile", result.hedge_percentile,
+                            kLeastHedgePercentile, kMostHedgePercentile);
+  result.extra_load = reader.OptionalNumber("extra_load", result.extra_load,
+                                            0.0, kMostExtraLoad);
+  result.results = static_cast<std::size_t>(reader.OptionalInteger(
+      "results", static_cast<std::int64_t>(result.results), 1, kMostResults));
+  if (!result.repeatable && result.hedging) {
+    reader.AddFault("hedging", "a workload that may not be repeated is hedged",
+                    "set hedging to false or repeatable to true");
+  }
+  reader.RefuseUnknownMembers();
+  return result;
+}
+
+upstream_definition ReadUpstream(json_reader& reader) {
+  upstream_definition result;
+  result.name = reader.RequiredString("name");
+  result.data_centre = reader.RequiredString("data_centre");
+  result.address.address = reader.RequiredString("address");
+  result.address.port =
+      static_cast<std::uint16_t>(reader.RequiredInteger("port", 1, kMostPort));
+  result.limits.slots =
+      static_cast<int>(reader.RequiredInteger("slots", 1, kMostSlots));
+  result.limits.cold_slots = static_cast<int>(
+      reader.OptionalInteger("cold_slots", 1, 1, result.limits.slots));
+  result.limits.connections =
+      static_cast<int>(reader.RequiredInteger("connections", 1, kMostSlots));
+  reader.RefuseUnknownMembers();
+  return result;
+}
+
+template <typename Item>
+void RefuseDoubledNames(json_reader& reader, const std::string& key,
+                        const std::vector<Item>& items) {
+  std::set<std::string> names;
+  for (const Item& item : items) {
+    if (names.insert(item.name).second) continue;
+    reader.AddFault(key, "name \"" + item.name + "\" stands twice",
+                    "give each its own name");
+  }
+}
+
+service_definition ReadService(json_reader& reader) {
+  service_definition service;
+  service.name = reader.RequiredString("service");
+  for (json_reader& each : reader.Objects("upstreams")) {
+    service.upstreams.push_back(ReadUpstream(each));
+  }
+  for (json_reader& each : reader.Objects("workloads")) {
+    service.workloads.push_back(ReadWorkload(each));
+  }
+  if (service.upstreams.empty()) {
+    reader.AddFault("upstreams", "no upstream", "name at least one upstream");
+  }
+  if (service.workloads.empty()) {
+    reader.AddFault("workloads", "no workload", "name at least one workload");
+  }
+  RefuseDoubledNames(reader, "upstreams", service.upstreams);
+  RefuseDoubledNames(reader, "workloads", service.workloads);
+  reader.RefuseUnknownMembers();
+  return service;
+}
+
+json WorkloadToJson(const workload& value) {
+  return {{"name", value.name},
+          {"class", RequestClassName(value.priority)},
+          {"repeatable", value.repeatable},
+          {"deadline_ms", value.deadline.count()},
+          {"coverage",
+           {{"minimum", value.coverage.minimum},
+            {"settle_at", value.coverage.settle_at},
+            {"settle_after_ms", value.coverage.settle_after.count()}}},
+          {"hedging", value.hedging},
+          {"hedge_percentile", value.hedge_percentile},
+          {"extra_load", value.extra_load},
+          {"results", value.results}};
+}
+
+json UpstreamToJson(const upstream_definition& value) {
+  return {{"name", value.name},
+          {"data_centre", value.data_centre},
+          {"address", value.address.address},
+          {"port", value.address.port},
+          {"slots", value.limits.slots},
+          {"cold_slots", value.limits.cold_slots},
+          {"connections", value.limits.connections}};
+}
+
+// Runs `read` on the parsed text; nothing when it throws or the text is bad.
+template <typename Value, typename Read>
+std::optional<Value> ReadStored(const std::string& text, Read read) {
+  try {
+    return read(json::parse(text));
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+service_definition ParseServiceFile(const std::string& file,
+                                    const std::string& text,
+                                    fault_list& faults) {
+  fault_list own;
+  service_definition service;
+  const json document = ParseJson(text, own);
+  if (own.empty()) {
+    json_reader reader(document, "", own);
+    service = ReadService(reader);
+  }
+  for (fault& each : own) {
+    each.file = file;
+    faults.push_back(std::move(each));
+  }
+  return service;
+}
+
+nlohmann::json ServiceToJson(const service_definition& service) {
+  json upstreams = json::array();
+  for (const upstream_definition& each : service.upstreams) {
+    upstreams.push_back(UpstreamToJson(each));
+  }
+  json workloads = json::array();
+  for (const workload& each : service.workloads) {
+    workloads.push_back(WorkloadToJson(each));
+  }
+  return {{"service", service.name},
+          {"upstreams", std::move(upstreams)},
+          {"workloads", std::move(workloads)}};
+}
+
+std::string FormatConfiguration(const configuration& config) {
+  json services = json::array();
+  for (const service_definition& each : config.services) {
+    services.push_back(ServiceToJson(each));
+  }
+  const json value = {{"version", config.version},
+                      {"publication_id", config.publication_id},
+                      {"services", std::move(services)}};
+  return value.dump();
+}
+
+std::optional<configuration> ParseConfiguration(const std::string& text) {
+  return ReadStored<configuration>(
+      text, [](const json& in) -> std::optional<configuration> {
+        configuration config;
+        in.at("version").get_to(config.version);
+        in.at("publication_id").get_to(config.publication_id);
+        fault_list faults;
+        for (const json& each : in.at("services")) {
+          json_reader reader(each, "", faults);
+          config.services.push_back(ReadService(reader));
+        }
+        if (!faults.empty()) return std::nullopt;
+        return config;
+      });
+}
+
+std::optional<service_snapshots> ParseSnapshots(const std::string& service,
+                                                const std::string& text) {
+  return ReadStored<service_snapshots>(text, [&service](const json& in) {
+    service_snapshots result;
+    result.service = service;
+    for (const json& snapshot : in.at("snapshots")) {
+      partition_map map;
+      snapshot.at("snapshot").get_to(map.snapshot);
+      for (const json& shard : snapshot.at("shards")) {
+        map.shards.push_back(
+            {shard.at("shard").get<std::string>(),
+             shard.at("replicas").get<std::vector<std::string>>()});
+      }
+      result.snapshots.push_back(std::move(map));
+    }
+    std::sort(result.snapshots.begin(), result.snapshots.end(),
+              [](const partition_map& a, const partition_map& b) {
+                return a.snapshot > b.snapshot;
+              });
+    return result;
+  });
+}
+
+std::string FormatRoster(const roster& value) {
+  json members = json::array();
+  for (const roster_member& each : value.members) {
+    members.push_back({{"name", each.identity.name},
+                       {"incarnation", each.identity.incarnation},
+                       {"address", each.peers.address},
+                       {"port", each.peers.port}});
+  }
+  json assignments = json::object();
+  for (const steward_assignment& each : value.assignments) {
+    assignments[each.upstream] = each.steward;
+  }
+  const json out = {{"epoch", value.epoch},
+                    {"members", std::move(members)},
+                    {"assignments", std::move(assignments)}};
+  return out.dump();
+}
+
+std::optional<roster> ParseRoster(const std::string& data_centre,
+                                  const std::string& text) {
+  return ReadStored<roster>(text, [&data_centre](const json& in) {
+    roster result;
+    result.data_centre = data_centre;
+    in.at("epoch").get_to(result.epoch);
+    for (const json& each : in.at("members")) {
+      result.members.push_back({{each.at("name").get<std::string>(),
+                                 each.at("incarnation").get<std::uint64_t>()},
+                                {each.at("address").get<std::string>(),
+                                 each.at("port").get<std::uint16_t>()}});
+    }
+    for (const auto& each : in.at("assignments").items()) {
+      result.assignments.push_back(
+          {each.key(), each.value().get<std::string>()});
+    }
+    return result;
+  });
+}
+
+std::string FormatOrder(const data_centre_order& value) {
+  const json out = {{"generation", value.generation}, {"out", value.out}};
+  return out.dump();
+}
+
+std::optional<data_centre_order> ParseOrder(const std::string& data_centre,
+                                            const std::string& text) {
+  return ReadStored<data_centre_order>(text, [&data_centre](const json& in) {
+    data_centre_order order;
+    order.data_centre = data_centre;
+    in.at("generation").get_to(order.generation);
+    in.at("out").get_to(order.out);
+    return order;
+  });
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/protocol/json_reader.cc
@@ -0,0 +1,225 @@
+#include "protocol/json_reader.h"
+
+#include <utility>
+
+namespace papayaglade {
+
+namespace {
+
+const nlohmann::json& EmptyObject() {
+  static const nlohmann::json empty = nlohmann::json::object();
+  return empty;
+}
+
+std::string RangeText(double least, double most) {
+  return nlohmann::json(least).dump() + " to " + nlohmann::json(most).dump();
+}
+
+std::string RangeText(std::int64_t least, std::int64_t most) {
+  return std::to_string(least) + " to " + std::to_string(most);
+}
+
+// Thrown through the parser, which has no other way to stop early.
+struct too_deep {};
+
+bool CheckDepth(int depth, nlohmann::json::parse_event_t /*event*/,
+                nlohmann::json& /*parsed*/) {
+  if (depth > kMaximumJsonDepth) throw too_deep{};
+  return true;
+}
+
+}  // namespace
+
+nlohmann::json ParseJson(const std::string& text, fault_list& faults) {
+  try {
+    return nlohmann::json::parse(text, CheckDepth);
+  } catch (const too_deep&) {
+    faults.push_back(
+        {"", "", "the JSON is nested too deeply",
+         "nest at most " + std::to_string(kMaximumJsonDepth) + " levels"});
+  } catch (const nlohmann::json::parse_error& e) {
+    faults.push_back({"", "",
+                      "malformed JSON at byte " + std::to_string(e.byte),
+                      "mend the JSON syntax there"});
+  }
+  return nullptr;
+}
+
+json_reader::json_reader(const nlohmann::json& value, std::string pointer,
+                         fault_list& faults)
+    : value_(&value), pointer_(std::move(pointer)), faults_(&faults) {
+  if (value_->is_object()) return;
+  AddFault("", "not a JSON object", "write an object in braces here");
+  value_ = &EmptyObject();
+}
+
+std::string json_reader::RequiredString(const std::string& key) {
+  if (!Has(key)) {
+    Find(key);
+    AddFault(key, "missing", "add this member as a non-empty string");
+    return "";
+  }
+  std::string text = OptionalString(key, "");
+  if (text.empty() && value_->at(key).is_string()) {
+    AddFault(key, "empty", "give a non-empty string");
+  }
+  return text;
+}
+
+std::string json_reader::OptionalString(const std::string& key,
+                                        std::string fallback) {
+  const nlohmann::json* member = Find(key);
+  if (member == nullptr) return fallback;
+  if (member->is_string()) return member->get<std::string>();
+  AddFault(key, "not a string", "write a string in quotes");
+  return fallback;
+}
+
+std::int64_t json_reader::RequiredInteger(const std::string& key,
+                                          std::int64_t least,
+                                          std::int64_t most) {
+  if (!Has(key)) {
+    Find(key);
+    AddFault(key, "missing",
+             "add this member as an integer from " + RangeText(least, most));
+    return least;
+  }
+  return OptionalInteger(key, least, least, most);
+}
+
+std::int64_t json_reader::OptionalInteger(const std::string& key,
+                                          std::int64_t fallback,
+                                          std::int64_t least,
+                                          std::int64_t most) {
+  return MaybeInteger(key, least, most).value_or(fallback);
+}
+
+std::optional<std::int64_t> json_reader::MaybeInteger(const std::string& key,
+                                                      std::int64_t least,
+                                                      std::int64_t most) {
+  const nlohmann::json* member = Find(key);
+  if (member == nullptr) return std::nullopt;
+  const std::string remedy = "write an integer from " + RangeText(least, most);
+  const bool too_large =
+      member->is_number_unsigned() &&
+      member->get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX);
+  if (!member->is_number_integer() || too_large) {
+    AddFault(key, "not an integer in range", remedy);
+    return std::nullopt;
+  }
+  const auto number = member->get<std::int64_t>();
+  if (number < least || number > most) {
+    AddFault(key, std::to_string(number) + " is out of range", remedy);
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<double> json_reader::MaybeNumber(const std::string& key,
+                                               double least, double most) {
+  const nlohmann::json* member = Find(key);
+  if (member == nullptr) return std::nullopt;
+  const std::string remedy = "write a number from " + RangeText(least, most);
+  if (!member->is_number()) {
+    AddFault(key, "not a number", remedy);
+    return std::nullopt;
+  }
+  const auto number = member->get<double>();
+  if (number < least || number > most) {
+    AddFault(key, member->dump() + " is out of range", remedy);
+    return std::nullopt;
+  }
+  return number;
+}
+
+double json_reader::OptionalNumber(const std::string& key, double fallback,
+                                   double least, double most) {
+  return MaybeNumber(key, least, most).value_or(fallback);
+}
+
+bool json_reader::OptionalBool(const std::string& key, bool fallback) {
+  const nlohmann::json* member = Find(key);
+  if (member == nullptr) return fallback;
+  if (member->is_boolean()) return member->get<bool>();
+  AddFault(key, "not a boolean", "write true or false");
+  return fallback;
+}
+
+json_reader json_reader::Object(const std::string& key) {
+  const nlohmann::json* member = Find(key);
+  return json_reader(member == nullptr ? EmptyObject() : *member,
+                     PointerTo(key), *faults_);
+}
+
+std::vector<json_reader> json_reader::Objects(const std::string& key) {
+  std::vector<json_reader> readers;
+  const nlohmann::json* member = Find(key);
+  if (member == nullptr) return readers;
+  if (!member->is_array()) {
+    AddFault(key, "not an array", "write an array of objects");
+    return readers;
+  }
+  for (std::size_t i = 0; i < member->size(); ++i) {
+    readers.emplace_back((*member)[i], PointerTo(key) + "/" + std::to_string(i),
+                         *faults_);
+  }
+  return readers;
+}
+
+std::vector<std::string> json_reader::Strings(const std::string& key) {
+  std::vector<std::string> strings;
+  const nlohmann::json* member = Find(key);
+  if (member == nullptr) return strings;
+  if (!member->is_array()) {
+    AddFault(key, "not an array", "write an array of strings");
+    return strings;
+  }
+  for (const nlohmann::json& element : *member) {
+    if (element.is_string()) {
+      strings.push_back(element.get<std::string>());
+    } else {
+      AddFault(key, "an element is not a string", "write strings in quotes");
+    }
+  }
+  return strings;
+}
+
+bool json_reader::Has(const std::string& key) const {
+  return value_->contains(key);
+}
+
+void json_reader::RefuseUnknownMembers() {
+  for (const auto& member : value_->items()) {
+    if (asked_.count(member.key()) != 0) continue;
+    AddFault(member.key(), "unknown member",
+             "remove it or correct its spelling");
+  }
+}
+
+void json_reader::AddFault(const std::string& key, std::string message,
+                           std::string remedy) {
+  faults_->push_back({"", key.empty() ? pointer_ : PointerTo(key),
+                      std::move(message), std::move(remedy)});
+}
+
+const nlohmann::json* json_reader::Find(const std::string& key) {
+  asked_.insert(key);
+  const auto found = value_->find(key);
+  return found == value_->end() ? nullptr : &*found;
+}
+
+std::string json_reader::PointerTo(const std::string& key) const {
+  std::string escaped;
+  for (const char c : key) {
+    if (c == '~') {
+      escaped += "~0";
+    } else if (c == '/') {
+      escaped += "~1";
+    } else {
+      escaped += c;
+    }
+  }
+  return pointer_ + "/" + escaped;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/protocol/json_reader.h
@@ -0,0 +1,72 @@
+#ifndef PAPAYAGLADE_PROTOCOL_JSON_READER_H_
+#define PAPAYAGLADE_PROTOCOL_JSON_READER_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/fault.h"
+
+namespace papayaglade {
+
+/// Nesting that no well-formed document of ours reaches.
+constexpr int kMaximumJsonDepth = 16;
+
+/// Parses `text`; a fault is added and null returned when it is malformed or
+/// nested deeper than kMaximumJsonDepth.
+nlohmann::json ParseJson(const std::string& text, fault_list& faults);
+
+/// Reads one JSON object member by member and collects every fault found.
+class json_reader {
+ public:
+  /// `value` and `faults` must outlive the reader.
+  json_reader(const nlohmann::json& value, std::string pointer,
+              fault_list& faults);
+
+  std::string RequiredString(const std::string& key);
+  std::string OptionalString(const std::string& key, std::string fallback);
+  std::int64_t RequiredInteger(const std::string& key, std::int64_t least,
+                               std::int64_t most);
+  std::int64_t OptionalInteger(const std::string& key, std::int64_t fallback,
+                               std::int64_t least, std::int64_t most);
+  std::optional<std::int64_t> MaybeInteger(const std::string& key,
+                                           std::int64_t least,
+                                           std::int64_t most);
+  std::optional<double> MaybeNumber(const std::string& key, double least,
+                                    double most);
+  double OptionalNumber(const std::string& key, double fallback, double least,
+                        double most);
+  bool OptionalBool(const std::string& key, bool fallback);
+  /// A reader of the member; one over an empty object when absent.
+  json_reader Object(const std::string& key);
+  /// Readers of the elements, which must be objects.
+  std::vector<json_reader> Objects(const std::string& key);
+  std::vector<std::string> Strings(const std::string& key);
+
+  bool Has(const std::string& key) const;
+
+  /// Adds a fault for each member that was never asked for.
+  void RefuseUnknownMembers();
+
+  /// Adds a fault at member `key`, or at this object when `key` is empty.
+  void AddFault(const std::string& key, std::string message,
+                std::string remedy);
+
+  const std::string& pointer() const { return pointer_; }
+
+ private:
+  const nlohmann::json* Find(const std::string& key);
+  std::string PointerTo(const std::string& key) const;
+
+  const nlohmann::json* value_;
+  std::string pointer_;
+  fault_list* faults_;
+  std::set<std::string> asked_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_PROTOCOL_JSON_READER_H_
--- /dev/null
+++ b/src/state/overloaded.h
@@ -0,0 +1,16 @@
+#ifndef PAPAYAGLADE_STATE_OVERLOADED_H_
+#define PAPAYAGLADE_STATE_OVERLOADED_H_
+
+namespace papayaglade {
+
+/// A visitor made of one lambda for each alternative of a std::variant.
+template <typename... Handlers>
+struct overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_STATE_OVERLOADED_H_
--- /dev/null
+++ b/src/transport/http_call.cc
@@ -0,0 +1,29 @@
+#include "transport/http_call.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <utility>
+
+namespace papayaglade {
+
+http_connection::outcome CallHttp(const endpoint& target, http_request request,
+                                  std::chrono::milliseconds timeout) {
+  boost::asio::io_context io;
+  const auto connection = std::make_shared<http_connection>(io);
+  http_connection::outcome result;
+  const auto keep = [&](http_connection::outcome outcome) {
+    result = std::move(outcome);
+  };
+  const auto connected = [&](std::optional<http_failure> failure) {
+    if (failure.has_value()) {
+      result.failure = failure;
+      return;
+    }
+    connection->Exchange(std::move(request), timeout, keep);
+  };
+  connection->Connect(target, timeout, connected);
+  io.run();
+  return result;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/transport/http_server.cc
@@ -0,0 +1,300 @@
+#include "transport/http_server.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+
+#include "protocol/caller_codec.h"
+#include "state/time.h"
+#include "transport/io_thread.h"
+
+namespace papayaglade {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr int kHttpOneOne = 11;
+
+}  // namespace
+
+class http_server::implementation {
+ public:
+  implementation(std::string name, const port_limits& limits, handler handler)
+      : limits_(limits),
+        handler_(std::move(handler)),
+        thread_(std::move(name)),
+        acceptor_(thread_.io()),
+        drain_timer_(thread_.io()) {}
+
+  std::string Listen(const endpoint& address) {
+    error_code failed;
+    const auto ip = asio::ip::make_address(address.address, failed);
+    if (failed) return "not an IP address: " + address.address;
+    const tcp::endpoint where(ip, address.port);
+    acceptor_.open(where.protocol(), failed);
+    if (!failed) acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    if (!failed) acceptor_.bind(where, failed);
+    if (!failed) {
+      acceptor_.listen(tcp::acceptor::max_listen_connections, failed);
+    }
+    return failed ? failed.message() : std::string();
+  }
+
+  void Start() {
+    Accept();
+    thread_.Start();
+  }
+
+  void Drain(std::chrono::milliseconds quiet, std::function<void()> done) {
+    asio::post(thread_.io(), [this, quiet, done = std::move(done)]() mutable {
+      quiet_ = quiet;
+      drained_ = std::move(done);
+      draining_ = true;
+      StopListening();
+      PollDrain();
+    });
+  }
+
+  void Stop() { thread_.Stop(); }
+
+ private:
+  class session;
+
+  void Accept() {
+    acceptor_.async_accept([this](error_code failed, tcp::socket socket) {
+      if (failed == asio::error::operation_aborted) return;
+      if (!failed) Admit(std::move(socket));
+      if (acceptor_.is_open()) Accept();
+    });
+  }
+
+  void Admit(tcp::socket socket);
+
+  // Connections that the kernel has already accepted belong to callers who
+  // were told nothing, so they are served before the listener closes.
+  void StopListening() {
+    error_code failed;
+    acceptor_.cancel(failed);
+    acceptor_.non_blocking(true, failed);
+    while (!failed) {
+      tcp::socket socket(thread_.io());
+      acceptor_.accept(socket, failed);
+      if (!failed) Admit(std::move(socket));
+    }
+    acceptor_.close(failed);
+  }
+
+  void PollDrain();
+
+  port_limits limits_;
+  handler handler_;
+  io_thread thread_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer drain_timer_;
+  std::unordered_set<session*> sessions_;
+  bool draining_ = false;
+  std::chrono::milliseconds quiet_{0};
+  std::function<void()> drained_;
+};
+
+// One connection: reads a request, waits for its response, writes it.
+class http_server::implementation::session
+    : public std::enable_shared_from_this<session> {
+ public:
+  session(implementation& server, tcp::socket socket)
+      : server_(server), stream_(std::move(socket)) {
+    server_.sessions_.insert(this);
+  }
+
+  ~session() { server_.sessions_.erase(this); }
+
+  session(const session&) = delete;
+  session& operator=(const session&) = delete;
+
+  void Start() {
+    error_code ignored;
+    stream_.socket().set_option(tcp::no_delay(true), ignored);
+    Read();
+  }
+
+  void CloseIfIdle(monotonic_time now, std::chrono::milliseconds quiet) {
+    if (!reading_ || reading_body_) return;
+    if (buffer_.size() > 0 || now - idle_since_ < quiet) return;
+    stream_.cancel();
+    Close();
+  }
+
+ private:
+  void Read() {
+    reading_ = true;
+    reading_body_ = false;
+    idle_since_ = monotonic_clock::now();
+    parser_.emplace();
+    parser_->body_limit(server_.limits_.body_bytes);
+    parser_->header_limit(
+        static_cast<std::uint32_t>(server_.limits_.header_bytes));
+    stream_.expires_after(server_.limits_.idle_timeout);
+    // The first byte ends the idle wait; from then on the shorter header
+    // timeout holds, so that half a request cannot keep a connection.
+    if (buffer_.size() > 0) return ReadRequest();
+    stream_.async_read_some(
+        buffer_.prepare(kFirstRead),
+        [self = this->shared_from_this()](error_code failed, std::size_t n) {
+          if (failed) return;
+          self->buffer_.commit(n);
+          self->ReadRequest();
+        });
+  }
+
+  void ReadRequest() {
+    reading_body_ = true;
+    stream_.expires_after(server_.limits_.header_timeout);
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = this->shared_from_this()](error_code failed, std::size_t) {
+          self->OnRead(failed);
+        });
+  }
+
+  void OnRead(error_code failed) {
+    reading_ = false;
+    if (failed == http::error::body_limit) {
+      return RefuseAndClose(
+          {error_kind::kTooLarge, "body", "the body is too large",
+           "send at most " + std::to_string(server_.limits_.body_bytes) +
+               " bytes"});
+    }
+    if (failed == http::error::header_limit) {
+      return RefuseAndClose(
+          {error_kind::kTooLarge, "headers", "the headers are too large",
+           "send at most " + std::to_string(server_.limits_.header_bytes) +
+               " bytes of headers"});
+    }
+    const bool malformed =
+        failed &&
+        failed.category() ==
+            make_error_code(http::error::bad_method).category() &&
+        failed != http::error::end_of_stream &&
+        failed != http::error::partial_message;
+    if (malformed) {
+      return RefuseAndClose({error_kind::kInvalidInput, "headers",
+                             "malformed HTTP: " + failed.message(),
+                             "send a well-formed HTTP/1.1 request"});
+    }
+    if (failed) return;
+    Dispatch();
+  }
+
+  void Dispatch() {
+    const auto& message = parser_->get();
+    keep_alive_ = message.keep_alive();
+    http_request request{
+        std::string(message.method_string()), std::string(message.target()),
+        std::string(message[http::field::content_type]), message.body()};
+    stream_.expires_never();
+    // The responder may run on another thread; only the server's own thread
+    // touches the stream.
+    auto responder =
+        [self = this->shared_from_this()](http_response response) mutable {
+          asio::post(self->server_.thread_.io(),
+                     [self, response = std::move(response)]() mutable {
+                       self->Write(std::move(response));
+                     });
+        };
+    server_.handler_(std::move(request), std::move(responder));
+  }
+
+  void RefuseAndClose(const error& cause) {
+    keep_alive_ = false;
+    Write(FormatCallerError(cause));
+  }
+
+  void Write(http_response response) {
+    if (server_.draining_) keep_alive_ = false;
+    response_ = {static_cast<http::status>(response.status), kHttpOneOne};
+    response_.set(http::field::content_type, response.content_type);
+    response_.keep_alive(keep_alive_);
+    response_.body() = std::move(response.body);
+    response_.prepare_payload();
+    stream_.expires_after(server_.limits_.header_timeout);
+    http::async_write(
+        stream_, response_,
+        [self = this->shared_from_this()](error_code failed, std::size_t) {
+          if (failed) return;
+          if (!self->keep_alive_) return self->Close();
+          self->Read();
+        });
+  }
+
+  void Close() {
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  static constexpr std::size_t kFirstRead = 4096;
+
+  implementation& server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+  bool reading_ = false;
+  bool reading_body_ = false;
+  bool keep_alive_ = true;
+  monotonic_time idle_since_;
+};
+
+void http_server::implementation::Admit(tcp::socket socket) {
+  // Over the bound the connection is closed at once: a typed refusal would
+  // cost the memory that the bound protects.
+  if (sessions_.size() >= limits_.connections) return;
+  std::make_shared<session>(*this, std::move(socket))->Start();
+}
+
+void http_server::implementation::PollDrain() {
+  const monotonic_time now = monotonic_clock::now();
+  const std::vector<session*> open(sessions_.begin(), sessions_.end());
+  for (session* each : open) each->CloseIfIdle(now, quiet_);
+  if (sessions_.empty()) {
+    if (drained_) std::exchange(drained_, nullptr)();
+    return;
+  }
+  drain_timer_.expires_after(kDrainPoll);
+  drain_timer_.async_wait([this](error_code failed) {
+    if (!failed) PollDrain();
+  });
+}
+
+http_server::http_server(std::string name, const port_limits& limits,
+                         handler handler)
+    : implementation_(std::make_unique<implementation>(std::move(name), limits,
+                                                       std::move(handler))) {}
+
+http_server::~http_server() { Stop(); }
+
+std::string http_server::Listen(const endpoint& address) {
+  return implementation_->Listen(address);
+}
+
+void http_server::Start() { implementation_->Start(); }
+
+void http_server::Drain(std::chrono::milliseconds quiet,
+                        std::function<void()> done) {
+  implementation_->Drain(quiet, std::move(done));
+}
+
+void http_server::Stop() { implementation_->Stop(); }
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/transport/io_thread.h
@@ -0,0 +1,37 @@
+#ifndef PAPAYAGLADE_TRANSPORT_IO_THREAD_H_
+#define PAPAYAGLADE_TRANSPORT_IO_THREAD_H_
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <thread>
+
+namespace papayaglade {
+
+/// One named thread that runs one io_context until stopped.
+class io_thread {
+ public:
+  /// `name` shows in process listings; at most 15 characters.
+  explicit io_thread(std::string name);
+  ~io_thread();
+
+  io_thread(const io_thread&) = delete;
+  io_thread& operator=(const io_thread&) = delete;
+
+  boost::asio::io_context& io() { return io_; }
+
+  void Start();
+  /// Abandons pending handlers and joins the thread.
+  void Stop();
+
+ private:
+  std::string name_;
+  boost::asio::io_context io_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      guard_;
+  std::thread thread_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TRANSPORT_IO_THREAD_H_
--- /dev/null
+++ b/src/transport/peer_links.cc
@@ -0,0 +1,525 @@
+#include "transport/peer_links.h"
+
+#include <glog/logging.h>
+#include <openssl/crypto.h>
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <utility>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "protocol/peer_codec.h"
+#include "transport/io_inbox.h"
+#include "transport/io_thread.h"
+
+namespace papayaglade {
+
+namespace {
+
+using link_handle = websocketpp::connection_hdl;
+using ws_server = websocketpp::server<websocketpp::config::asio>;
+using ws_client = websocketpp::client<websocketpp::config::asio_client>;
+using message_pointer = websocketpp::config::asio::message_type::ptr;
+using boost::system::error_code;
+
+constexpr std::size_t kInboxCapacity = 65536;
+constexpr std::size_t kMostBufferedBytes = 8UL * 1024 * 1024;
+constexpr std::size_t kLargestMessage = 4UL * 1024 * 1024;
+constexpr std::size_t kMostWaitingMessages = 4096;
+constexpr std::size_t kMostLinks = 2048;
+constexpr long kHandshakeTimeoutMs = 1000;
+constexpr std::chrono::milliseconds kLinkCheckPeriod{100};
+// A link with unanswered work is asked for a pong after the first time and
+// replaced after the second.
+constexpr std::chrono::milliseconds kProbeAfterSilence{500};
+constexpr std::chrono::milliseconds kReplaceAfterSilence{1200};
+
+bool KeysMatch(const std::string& a, const std::string& b) {
+  if (a.size() != b.size()) return false;
+  return CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+bool IsControl(const peer_message& message) {
+  return std::holds_alternative<control_message>(message);
+}
+
+}  // namespace
+
+class peer_links::implementation {
+ public:
+  implementation(const instance_settings& settings,
+                 const instance_identity& self, router_ring& router,
+                 steward_ring& stewards, control_ring& control)
+      : settings_(settings),
+        self_(self),
+        router_(router),
+        stewards_(stewards),
+        control_(control),
+        thread_("peers"),
+        inbox_(thread_.io(), kInboxCapacity,
+               [this](const std::function<void()>& job) { job(); }),
+        check_timer_(thread_.io()) {
+    Prepare(server_);
+    Prepare(client_);
+    server_.set_reuse_addr(true);
+    server_.set_open_handler([this](const link_handle& handle) {
+      if (links_.size() >= kMostLinks) return CloseHandle(handle, false);
+      AddLink(handle, false, "");
+    });
+  }
+
+  std::string Listen(const endpoint& address) {
+    websocketpp::lib::error_code failed;
+    error_code bad_address;
+    const auto ip = boost::asio::ip::make_address(address.address, bad_address);
+    if (bad_address) return "not an IP address: " + address.address;
+    server_.listen(boost::asio::ip::tcp::endpoint(ip, address.port), failed);
+    if (!failed) server_.start_accept(failed);
+    return failed ? failed.message() : std::string();
+  }
+
+  void Start() {
+    thread_.Start();
+    inbox_.TryPush([this] { ScheduleCheck(); });
+  }
+
+  void Stop() { thread_.Stop(); }
+
+  bool Post(std::function<void()> job) {
+    return inbox_.TryPush(std::move(job));
+  }
+
+  void Send(const std::string& peer, const peer_message& message) {
+    peer_state& state = peers_[peer];
+    const bool control = IsControl(message);
+    std::string bytes = EncodePeerMessage(message);
+    if (link* open = FindLink(state)) return Write(*open, bytes, control);
+    if (state.waiting.size() >= kMostWaitingMessages) {
+      return Report(peer, peer_link_event::link_state::kClosed);
+    }
+    state.waiting.push_back({std::move(bytes), control});
+    if (!state.dialling) DialPeer(peer, state);
+  }
+
+  void SetAddress(const instance_identity& peer, const endpoint& address) {
+    peer_state& state = peers_[peer.name];
+    const bool moved =
+        state.address != address || state.incarnation != peer.incarnation;
+    state.address = address;
+    state.incarnation = peer.incarnation;
+    if (moved) DropStaleLinks(peer);
+  }
+
+  void Dial(const std::string& peer) { DialPeer(peer, peers_[peer]); }
+
+  void Forget(const std::string& peer) {
+    std::vector<link_handle> own;
+    for (const auto& each : links_) {
+      if (each.second.peer.name == peer) own.push_back(each.first);
+    }
+    for (const link_handle& handle : own) CloseLink(handle);
+    peers_.erase(peer);
+  }
+
+  peer_traffic Traffic() const {
+    return {control_messages_sent_, control_bytes_sent_,
+            control_bytes_received_, query_bytes_sent_, query_bytes_received_};
+  }
+
+ private:
+  struct link {
+    link_handle handle;
+    bool dialled = false;  ///< By this instance; else accepted.
+    bool greeted = false;  ///< The peer's hello was accepted.
+    instance_identity peer;
+    monotonic_time last_received;
+    /// Oldest message or ping that nothing has been received since.
+    std::optional<monotonic_time> unanswered_since;
+  };
+  struct waiting_message {
+    std::string bytes;
+    bool control = false;
+  };
+  struct peer_state {
+    endpoint address;
+    std::uint64_t incarnation = 0;
+    bool dialling = false;
+    std::deque<waiting_message> waiting;  ///< Until a link is up.
+  };
+  using link_map = std::map<link_handle, link, std::owner_less<link_handle>>;
+
+  template <typename Endpoint>
+  void Prepare(Endpoint& end) {
+    end.clear_access_channels(websocketpp::log::alevel::all);
+    end.clear_error_channels(websocketpp::log::elevel::all);
+    end.init_asio(&thread_.io());
+    end.set_max_message_size(kLargestMessage);
+    end.set_open_handshake_timeout(kHandshakeTimeoutMs);
+    end.set_close_handshake_timeout(kHandshakeTimeoutMs);
+    end.set_tcp_post_init_handler([&end](const link_handle& handle) {
+      websocketpp::lib::error_code ignored;
+      const auto connection = end.get_con_from_hdl(handle, ignored);
+      if (!connection) return;
+      error_code failed;
+      connection->get_raw_socket().set_option(
+          boost::asio::ip::tcp::no_delay(true), failed);
+    });
+    end.set_message_handler(
+        [this](const link_handle& handle, const message_pointer& message) {
+          OnMessage(handle, message->get_payload());
+        });
+    end.set_pong_handler([this](const link_handle& handle, const std::string&) {
+      Heard(handle);
+    });
+    end.set_close_handler(
+        [this](const link_handle& handle) { OnClosed(handle); });
+  }
+
+  void DialPeer(const std::string& peer, peer_state& state) {
+    if (state.address.port == 0) {
+      return OnDialFailed(peer, peer_link_event::link_state::kClosed);
+    }
+    const std::string uri = "ws://" + state.address.address + ":" +
+                            std::to_string(state.address.port) + "/";
+    websocketpp::lib::error_code failed;
+    const auto connection = client_.get_connection(uri, failed);
+    if (failed) {
+      return OnDialFailed(peer, peer_link_event::link_state::kClosed);
+    }
+    state.dialling = true;
+    connection->set_open_handler([this, peer](const link_handle& handle) {
+      AddLink(handle, true, peer);
+    });
+    connection->set_fail_handler([this, peer](const link_handle& handle) {
+      OnDialFailed(peer, DialFailure(handle));
+    });
+    client_.connect(connection);
+  }
+
+  peer_link_event::link_state DialFailure(const link_handle& handle) {
+    websocketpp::lib::error_code ignored;
+    const auto connection = client_.get_con_from_hdl(handle, ignored);
+    if (!connection) return peer_link_event::link_state::kClosed;
+    const auto refused = boost::asio::error::make_error_code(
+        boost::asio::error::connection_refused);
+    if (connection->get_transport_ec() == refused) {
+      return peer_link_event::link_state::kRefused;
+    }
+    return peer_link_event::link_state::kSilent;
+  }
+
+  void OnDialFailed(const std::string& peer,
+                    peer_link_event::link_state state) {
+    peer_state& dialled = peers_[peer];
+    dialled.dialling = false;
+    dialled.waiting.clear();
+    Report(peer, state);
+  }
+
+  void AddLink(const link_handle& handle, bool dialled,
+               const std::string& peer) {
+    link& added = links_[handle];
+    added.handle = handle;
+    added.dialled = dialled;
+    added.peer.name = peer;
+    added.last_received = monotonic_clock::now();
+    const peer_hello hello{self_, settings_.data_centre, settings_.peer_key};
+    Write(added, EncodePeerMessage(hello), true);
+  }
+
+  void OnMessage(const link_handle& handle, const std::string& bytes) {
+    const auto found = links_.find(handle);
+    if (found == links_.end()) return;
+    Heard(handle);
+    std::optional<peer_message> message = DecodePeerMessage(bytes);
+    if (!message.has_value()) {
+      LOG(WARNING) << "event=peer_message_malformed peer="
+                   << found->second.peer.name;
+      return CloseLink(handle);
+    }
+    Count(*message, bytes.size());
+    std::visit([this, &found](auto& each) { Receive(found->second, each); },
+               *message);
+  }
+
+  void Count(const peer_message& message, std::size_t size) {
+    if (IsControl(message)) {
+      control_bytes_received_ += size;
+    } else {
+      query_bytes_received_ += size;
+    }
+  }
+
+  void Receive(link& from, const peer_hello& hello) {
+    const bool expected =
+        !from.dialled || hello.identity.name == from.peer.name;
+    if (!KeysMatch(hello.peer_key, settings_.peer_key) || !expected) {
+      LOG(WARNING) << "event=peer_refused peer=" << hello.identity.name
+                   << " reason=wrong_key_or_name";
+      return CloseLink(from.handle);
+    }
+    from.greeted = true;
+    from.peer = hello.identity;
+    peer_state& state = peers_[hello.identity.name];
+    if (from.dialled) state.dialling = false;
+    for (const waiting_message& each : std::exchange(state.waiting, {})) {
+      Write(from, each.bytes, each.control);
+    }
+    Report(hello.identity, peer_link_event::link_state::kUp);
+  }
+
+  void Receive(link& from, shard_batch& batch) {
+    if (!from.greeted || batch.origin != from.peer) {
+      return CloseLink(from.handle);
+    }
+    const monotonic_time deadline = monotonic_clock::now() + batch.time_left;
+    shard_results refusal = RefuseAll(batch);
+    if (stewards_.TryPush(batch_event{std::move(batch), deadline})) return;
+    Write(from, EncodePeerMessage(refusal), false);
+  }
+
+  // What a full ring answers: nothing ran, and why.
+  static shard_results RefuseAll(const shard_batch& batch) {
+    shard_results refusal;
+    for (const shard_attempt& each : batch.attempts) {
+      shard_result result;
+      result.attempt_id = each.attempt_id;
+      result.status = shard_status::kNotRun;
+      result.reason = shard_reason::kQueueFull;
+      refusal.results.push_back(std::move(result));
+    }
+    return refusal;
+  }
+
+  void Receive(link& from, shard_results& results) {
+    if (!from.greeted) return CloseLink(from.handle);
+    Push(router_, results_event{std::move(results)});
+  }
+
+  void Receive(link& from, shard_cancel& cancel) {
+    if (!from.greeted) return CloseLink(from.handle);
+    Push(stewards_, cancel_event{std::move(cancel)});
+  }
+
+  void Receive(link& from, control_message& message) {
+    if (!from.greeted) return CloseLink(from.handle);
+    Push(control_, control_event{from.peer, std::move(message)});
+  }
+
+  template <typename Ring, typename Event>
+  static void Push(Ring& ring, Event event) {
+    if (!ring.TryPush(std::move(event))) {
+      LOG(WARNING) << "event=peer_message_dropped reason=ring_full";
+    }
+  }
+
+  // The link to use: greeted, of the peer's newest incarnation if known.
+  link* FindLink(const peer_state& state) {
+    for (auto& each : links_) {
+      link& candidate = each.second;
+      if (!candidate.greeted) continue;
+      const auto owner = peers_.find(candidate.peer.name);
+      if (owner != peers_.end() && &owner->second == &state) return &candidate;
+    }
+    return nullptr;
+  }
+
+  void Write(link& to, const std::string& bytes, bool control) {
+    websocketpp::lib::error_code failed;
+    if (Buffered(to) > kMostBufferedBytes) return CloseLink(to.handle);
+    if (to.dialled) {
+      client_.send(to.handle, bytes, websocketpp::frame::opcode::binary,
+                   failed);
+    } else {
+      server_.send(to.handle, bytes, websocketpp::frame::opcode::binary,
+                   failed);
+    }
+    if (!to.unanswered_since) to.unanswered_since = monotonic_clock::now();
+    if (control) {
+      ++control_messages_sent_;
+      control_bytes_sent_ += bytes.size();
+    } else {
+      query_bytes_sent_ += bytes.size();
+    }
+  }
+
+  std::size_t Buffered(const link& of) {
+    websocketpp::lib::error_code ignored;
+    if (of.dialled) {
+      const auto connection = client_.get_con_from_hdl(of.handle, ignored);
+      return connection ? connection->get_buffered_amount() : 0;
+    }
+    const auto connection = server_.get_con_from_hdl(of.handle, ignored);
+    return connection ? connection->get_buffered_amount() : 0;
+  }
+
+  void Heard(const link_handle& handle) {
+    const auto found = links_.find(handle);
+    if (found == links_.end()) return;
+    found->second.last_received = monotonic_clock::now();
+    found->second.unanswered_since.reset();
+  }
+
+  void OnClosed(const link_handle& handle) {
+    const auto found = links_.find(handle);
+    if (found == links_.end()) return;
+    const link closed = found->second;
+    links_.erase(found);
+    if (closed.greeted && !HasLink(closed.peer)) {
+      Report(closed.peer, peer_link_event::link_state::kClosed);
+    }
+  }
+
+  bool HasLink(const instance_identity& peer) const {
+    for (const auto& each : links_) {
+      if (each.second.greeted && each.second.peer == peer) return true;
+    }
+    return false;
+  }
+
+  void DropStaleLinks(const instance_identity& peer) {
+    std::vector<link_handle> stale;
+    for (const auto& each : links_) {
+      const instance_identity& other = each.second.peer;
+      if (other.name == peer.name && other.incarnation != 0 &&
+          other.incarnation != peer.incarnation) {
+        stale.push_back(each.first);
+      }
+    }
+    for (const link_handle& handle : stale) CloseLink(handle);
+  }
+
+  void CloseLink(const link_handle& handle) {
+    const auto found = links_.find(handle);
+    if (found == links_.end()) return;
+    const bool dialled = found->second.dialled;
+    CloseHandle(handle, dialled);
+    OnClosed(handle);
+  }
+
+  void CloseHandle(const link_handle& handle, bool dialled) {
+    websocketpp::lib::error_code ignored;
+    constexpr auto kWhy = websocketpp::close::status::policy_violation;
+    if (dialled) {
+      client_.close(handle, kWhy, "", ignored);
+    } else {
+      server_.close(handle, kWhy, "", ignored);
+    }
+  }
+
+  void ScheduleCheck() {
+    check_timer_.expires_after(kLinkCheckPeriod);
+    check_timer_.async_wait([this](const error_code& failed) {
+      if (failed) return;
+      CheckLinks(monotonic_clock::now());
+      ScheduleCheck();
+    });
+  }
+
+  void CheckLinks(monotonic_time now) {
+    std::vector<link_handle> silent;
+    for (auto& each : links_) {
+      link& checked = each.second;
+      if (!checked.unanswered_since) continue;
+      const auto waited = now - *checked.unanswered_since;
+      if (waited >= kReplaceAfterSilence) {
+        silent.push_back(each.first);
+      } else if (waited >= kProbeAfterSilence) {
+        Ping(checked);
+      }
+    }
+    for (const link_handle& handle : silent) {
+      const instance_identity peer = links_.at(handle).peer;
+      LOG(WARNING) << "event=peer_link_silent peer=" << peer.name;
+      CloseLink(handle);
+      Report(peer, peer_link_event::link_state::kSilent);
+    }
+  }
+
+  void Ping(const link& to) {
+    websocketpp::lib::error_code ignored;
+    if (to.dialled) {
+      client_.ping(to.handle, "", ignored);
+    } else {
+      server_.ping(to.handle, "", ignored);
+    }
+  }
+
+  void Report(const std::string& peer, peer_link_event::link_state state) {
+    const auto found = peers_.find(peer);
+    const std::uint64_t incarnation =
+        found == peers_.end() ? 0 : found->second.incarnation;
+    Report(instance_identity{peer, incarnation}, state);
+  }
+
+  void Report(const instance_identity& peer,
+              peer_link_event::link_state state) {
+    const peer_link_event event{peer, state};
+    Push(router_, event);
+    Push(stewards_, event);
+    Push(control_, event);
+  }
+
+  const instance_settings settings_;
+  const instance_identity self_;
+  router_ring& router_;
+  steward_ring& stewards_;
+  control_ring& control_;
+  io_thread thread_;
+  io_inbox<std::function<void()>> inbox_;
+  boost::asio::steady_timer check_timer_;
+  ws_server server_;
+  ws_client client_;
+  link_map links_;
+  std::map<std::string, peer_state> peers_;
+  std::atomic<std::uint64_t> control_messages_sent_{0};
+  std::atomic<std::uint64_t> control_bytes_sent_{0};
+  std::atomic<std::uint64_t> control_bytes_received_{0};
+  std::atomic<std::uint64_t> query_bytes_sent_{0};
+  std::atomic<std::uint64_t> query_bytes_received_{0};
+};
+
+peer_links::peer_links(const instance_settings& settings,
+                       const instance_identity& self, router_ring& router,
+                       steward_ring& stewards, control_ring& control)
+    : implementation_(std::make_unique<implementation>(settings, self, router,
+                                                       stewards, control)) {}
+
+peer_links::~peer_links() { Stop(); }
+
+std::string peer_links::Listen(const endpoint& address) {
+  return implementation_->Listen(address);
+}
+
+void peer_links::Start() { implementation_->Start(); }
+
+void peer_links::Stop() { implementation_->Stop(); }
+
+bool peer_links::Send(const std::string& peer, peer_message message) {
+  return implementation_->Post([this, peer, message = std::move(message)] {
+    implementation_->Send(peer, message);
+  });
+}
+
+void peer_links::SetAddress(const instance_identity& peer,
+                            const endpoint& address) {
+  implementation_->Post(
+      [this, peer, address] { implementation_->SetAddress(peer, address); });
+}
+
+void peer_links::Dial(const std::string& peer) {
+  implementation_->Post([this, peer] { implementation_->Dial(peer); });
+}
+
+void peer_links::Forget(const std::string& peer) {
+  implementation_->Post([this, peer] { implementation_->Forget(peer); });
+}
+
+peer_traffic peer_links::Traffic() const { return implementation_->Traffic(); }
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/transport/platform_links.cc
@@ -0,0 +1,103 @@
+#include "transport/platform_links.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+#include "protocol/platform_codec.h"
+
+namespace papayaglade {
+
+namespace {
+
+constexpr std::size_t kInboxCapacity = 4096;
+constexpr std::size_t kMostIdleConnections = 8;
+
+// A watch is answered only after its own wait, so its timeout starts there.
+std::chrono::milliseconds ExchangeTimeout(const platform_call& call) {
+  const auto* watch = std::get_if<platform_watch>(&call.operation);
+  return watch == nullptr ? call.timeout : call.timeout + watch->wait;
+}
+
+platform_reply Failed(const platform_call& call, platform_status status) {
+  platform_reply reply;
+  reply.call_id = call.call_id;
+  reply.status = status;
+  return reply;
+}
+
+}  // namespace
+
+platform_links::platform_links(const endpoint& platform, control_ring& control,
+                               router_ring& router)
+    : platform_(platform),
+      control_(control),
+      router_(router),
+      thread_("platform"),
+      inbox_(thread_.io(), kInboxCapacity,
+             [this](const work& item) { Begin(item); }) {}
+
+platform_links::~platform_links() { Stop(); }
+
+void platform_links::Start() { thread_.Start(); }
+
+void platform_links::Stop() { thread_.Stop(); }
+
+bool platform_links::CallFromControl(platform_call call) {
+  return inbox_.TryPush({origin::kControl, std::move(call)});
+}
+
+bool platform_links::CallFromRouter(platform_call call) {
+  return inbox_.TryPush({origin::kRouter, std::move(call)});
+}
+
+void platform_links::Begin(const work& item) {
+  if (!idle_.empty()) {
+    const connection_pointer connection = std::move(idle_.back());
+    idle_.pop_back();
+    return Exchange(item, connection);
+  }
+  const auto connection = std::make_shared<http_connection>(thread_.io());
+  connection->Connect(
+      platform_, item.call.timeout,
+      [this, item, connection](std::optional<http_failure> failure) {
+        if (failure.has_value()) {
+          return Reply(item.from,
+                       Failed(item.call, platform_status::kUnreachable));
+        }
+        Exchange(item, connection);
+      });
+}
+
+void platform_links::Exchange(const work& item,
+                              const connection_pointer& connection) {
+  connection->Exchange(
+      FormatPlatformCall(item.call.operation), ExchangeTimeout(item.call),
+      [this, item, connection](http_connection::outcome outcome) {
+        if (outcome.failure.has_value()) {
+          connection->Close();
+          // Other idle connections are as old as this one; one silent
+          // connection makes all of them doubtful.
+          idle_.clear();
+          return Reply(item.from, Failed(item.call, platform_status::kLost));
+        }
+        if (outcome.keep_alive && idle_.size() < kMostIdleConnections) {
+          idle_.push_back(connection);
+        }
+        platform_reply reply = ParsePlatformReply(item.call.operation,
+                                                  outcome.status, outcome.body);
+        reply.call_id = item.call.call_id;
+        Reply(item.from, std::move(reply));
+      });
+}
+
+void platform_links::Reply(origin from, platform_reply reply) {
+  // A reply that does not fit its ring is as good as lost on the way; both
+  // duties time out their calls for that reason.
+  const bool delivered = from == origin::kControl
+                             ? control_.TryPush(platform_event{reply})
+                             : router_.TryPush(platform_event{reply});
+  if (!delivered) LOG(WARNING) << "event=platform_reply_dropped";
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/transport/platform_links.h
@@ -0,0 +1,52 @@
+#ifndef PAPAYAGLADE_TRANSPORT_PLATFORM_LINKS_H_
+#define PAPAYAGLADE_TRANSPORT_PLATFORM_LINKS_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "coordination/ports.h"
+#include "state/events.h"
+#include "transport/http_connection.h"
+#include "transport/io_inbox.h"
+#include "transport/io_thread.h"
+
+namespace papayaglade {
+
+/// The platform duty: carries calls to the Object API over kept-alive HTTP
+/// connections and returns each reply to the duty that called.
+class platform_links : public platform_port {
+ public:
+  platform_links(const endpoint& platform, control_ring& control,
+                 router_ring& router);
+  ~platform_links() override;
+
+  void Start();
+  void Stop();
+
+  bool CallFromControl(platform_call call) override;
+  bool CallFromRouter(platform_call call) override;
+
+ private:
+  enum class origin { kControl, kRouter };
+  struct work {
+    origin from = origin::kControl;
+    platform_call call;
+  };
+  using connection_pointer = std::shared_ptr<http_connection>;
+
+  void Begin(const work& item);
+  void Exchange(const work& item, const connection_pointer& connection);
+  void Reply(origin from, platform_reply reply);
+
+  endpoint platform_;
+  control_ring& control_;
+  router_ring& router_;
+  io_thread thread_;
+  io_inbox<work> inbox_;
+  std::vector<connection_pointer> idle_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TRANSPORT_PLATFORM_LINKS_H_
--- /dev/null
+++ b/src/transport/timer_thread.cc
@@ -0,0 +1,53 @@
+#include "transport/timer_thread.h"
+
+#include <utility>
+
+namespace papayaglade {
+
+timer_thread::timer_thread() : thread_("timer") {}
+
+timer_thread::~timer_thread() { Stop(); }
+
+void timer_thread::Start() { thread_.Start(); }
+
+void timer_thread::Stop() { thread_.Stop(); }
+
+timer_service::subscription timer_thread::Subscribe(
+    std::chrono::milliseconds period, tick_handler handler) {
+  const std::lock_guard<std::recursive_mutex> lock(mutex_);
+  const subscription id = ++last_id_;
+  auto added = std::make_unique<entry>(
+      entry{period, std::move(handler),
+            boost::asio::steady_timer(thread_.io(), Now())});
+  entry& armed = *added;
+  entries_[id] = std::move(added);
+  Arm(id, armed);
+  return id;
+}
+
+void timer_thread::Cancel(subscription id) {
+  const std::lock_guard<std::recursive_mutex> lock(mutex_);
+  entries_.erase(id);
+}
+
+void timer_thread::Arm(subscription id, entry& armed) {
+  // Late ticks are not made up for: a thawed process must not see a burst.
+  armed.timer.expires_after(armed.period);
+  armed.timer.async_wait([this, id](const boost::system::error_code& failed) {
+    if (!failed) Fire(id);
+  });
+}
+
+void timer_thread::Fire(subscription id) {
+  // The lock is held while the handler runs, so Cancel waits for it; it is
+  // recursive because a handler may cancel itself.
+  const std::lock_guard<std::recursive_mutex> lock(mutex_);
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  const tick_handler handler = found->second->handler;
+  handler(Now());
+  const auto still = entries_.find(id);
+  if (still != entries_.end()) Arm(id, *still->second);
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/transport/upstream_links.cc
@@ -0,0 +1,124 @@
+#include "transport/upstream_links.h"
+
+#include <utility>
+
+#include "state/overloaded.h"
+
+namespace papayaglade {
+
+namespace {
+
+constexpr std::size_t kInboxCapacity = 65536;
+constexpr std::chrono::milliseconds kReportRetry{1};
+// The stewards duty decides when an exchange has taken too long, because only
+// it knows what a silent connection still counts against.
+constexpr std::chrono::milliseconds kNoTimeout{0};
+
+connection_failure FailureOf(http_failure how) {
+  switch (how) {
+    case http_failure::kRefused:
+      return connection_failure::kRefused;
+    case http_failure::kTimedOut:
+      return connection_failure::kTimedOut;
+    case http_failure::kReset:
+      return connection_failure::kReset;
+    case http_failure::kMalformed:
+      return connection_failure::kMalformed;
+  }
+  return connection_failure::kReset;
+}
+
+}  // namespace
+
+upstream_links::upstream_links(steward_ring& stewards)
+    : stewards_(stewards),
+      thread_("upstreams"),
+      inbox_(thread_.io(), kInboxCapacity,
+             [this](upstream_command command) {
+               std::visit(
+                   overloaded{
+                       [this](open_connection& c) { Open(c); },
+                       [this](close_connection& c) { Close(c); },
+                       [this](send_exchange& c) { Exchange(std::move(c)); },
+                   },
+                   command);
+             }),
+      retry_(thread_.io()) {}
+
+upstream_links::~upstream_links() { Stop(); }
+
+void upstream_links::Start() { thread_.Start(); }
+
+void upstream_links::Stop() { thread_.Stop(); }
+
+bool upstream_links::Send(upstream_command command) {
+  return inbox_.TryPush(std::move(command));
+}
+
+void upstream_links::Open(const open_connection& command) {
+  const auto connection = std::make_shared<http_connection>(thread_.io());
+  const std::uint64_t id = command.connection_id;
+  connections_[id] = connection;
+  connection->Connect(command.target, command.timeout,
+                      [this, id](std::optional<http_failure> failure) {
+                        if (failure.has_value()) {
+                          Fail(id, *failure, true);
+                        } else {
+                          Report(connection_opened{id});
+                        }
+                      });
+}
+
+void upstream_links::Close(const close_connection& command) {
+  const auto found = connections_.find(command.connection_id);
+  if (found == connections_.end()) return;
+  found->second->Close();
+  connections_.erase(found);
+}
+
+void upstream_links::Exchange(send_exchange command) {
+  const std::uint64_t id = command.connection_id;
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) {
+    return Report(connection_failed{id, connection_failure::kReset, true});
+  }
+  http_request request{std::move(command.method), std::move(command.target), "",
+                       std::move(command.body)};
+  found->second->Exchange(
+      std::move(request), kNoTimeout,
+      [this, id,
+       exchange_id = command.exchange_id](http_connection::outcome outcome) {
+        if (outcome.failure.has_value()) {
+          return Fail(id, *outcome.failure, false);
+        }
+        Report(exchange_reply{id, exchange_id, outcome.status,
+                              std::move(outcome.body), outcome.keep_alive});
+      });
+}
+
+void upstream_links::Fail(std::uint64_t connection_id, http_failure how,
+                          bool nothing_sent) {
+  Close({connection_id});
+  Report(connection_failed{connection_id, FailureOf(how), nothing_sent});
+}
+
+void upstream_links::Report(steward_event event) {
+  // A lost report would leave a request counted as in flight for ever, so
+  // reports wait here, in order, while the stewards ring is full.
+  if (unreported_.empty() && stewards_.TryPush(event)) return;
+  unreported_.push_back(std::move(event));
+  if (unreported_.size() == 1) RetryReports();
+}
+
+void upstream_links::RetryReports() {
+  retry_.expires_after(kReportRetry);
+  retry_.async_wait([this](const boost::system::error_code& failed) {
+    if (failed) return;
+    while (!unreported_.empty() && stewards_.TryPush(unreported_.front())) {
+      unreported_.pop_front();
+    }
+    if (!unreported_.empty()) RetryReports();
+  });
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/transport/upstream_links.h
@@ -0,0 +1,50 @@
+#ifndef PAPAYAGLADE_TRANSPORT_UPSTREAM_LINKS_H_
+#define PAPAYAGLADE_TRANSPORT_UPSTREAM_LINKS_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <variant>
+
+#include "coordination/ports.h"
+#include "state/events.h"
+#include "transport/http_connection.h"
+#include "transport/io_inbox.h"
+#include "transport/io_thread.h"
+
+namespace papayaglade {
+
+/// The upstreams duty: carries out connection commands and reports what came
+/// of them to the stewards duty. It decides nothing.
+class upstream_links : public upstream_port {
+ public:
+  explicit upstream_links(steward_ring& stewards);
+  ~upstream_links() override;
+
+  void Start();
+  void Stop();
+
+  bool Send(upstream_command command) override;
+
+ private:
+  void Open(const open_connection& command);
+  void Close(const close_connection& command);
+  void Exchange(send_exchange command);
+  void Fail(std::uint64_t connection_id, http_failure how, bool nothing_sent);
+  void Report(steward_event event);
+  void RetryReports();
+
+  steward_ring& stewards_;
+  io_thread thread_;
+  io_inbox<upstream_command> inbox_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<http_connection>>
+      connections_;
+  std::deque<steward_event> unreported_;
+  boost::asio::steady_timer retry_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TRANSPORT_UPSTREAM_LINKS_H_
--- /dev/null
+++ b/tests/unit/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
