--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,5 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
+# Cached objects serve every checkout of the tree.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 cmake -S . -B "$build" -G Ninja ${CMAKE_FLAGS:-} >/dev/null
 ninja -C "$build" -j "${JOBS:-$(nproc)}" --quiet
--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -17,6 +17,7 @@
                            const instance_identity& self, timer_service& timer,
                            peer_port& peers, platform_port& platform,
                            router_ring& router, steward_ring& stewards,
+                           readiness_port& readiness, metrics_sink& metrics,
                            control_ring& inbox)
     : settings_(settings),
       self_(self),
@@ -25,6 +26,8 @@
       platform_(platform),
       router_(router),
       stewards_(stewards),
+      readiness_(readiness),
+      metrics_(metrics),
       inbox_(inbox) {}
 
 control_duty::~control_duty() { Stop(); }
@@ -143,6 +146,7 @@
 
 void control_duty::Publish() {
   view_.ready = view_.config != nullptr && !view_.rosters.empty();
+  readiness_.SetReady(view_.ready, "no configuration or roster yet");
   const auto view = std::make_shared<const cluster_view>(view_);
   router_.TryPush(view_update{view});
   stewards_.TryPush(view_update{view});
--- a/src/app/control_duty.h
+++ b/src/app/control_duty.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "app/duty_thread.h"
+#include "coordination/metrics_sink.h"
 #include "coordination/ports.h"
 #include "coordination/timer_service.h"
 #include "state/events.h"
@@ -19,6 +20,7 @@
   control_duty(const instance_settings& settings, const instance_identity& self,
                timer_service& timer, peer_port& peers, platform_port& platform,
                router_ring& router, steward_ring& stewards,
+               readiness_port& readiness, metrics_sink& metrics,
                control_ring& inbox);
   ~control_duty();
 
@@ -46,6 +48,8 @@
   platform_port& platform_;
   router_ring& router_;
   steward_ring& stewards_;
+  readiness_port& readiness_;
+  metrics_sink& metrics_;
   control_ring& inbox_;
   duty_thread thread_;
   timer_service::subscription subscription_ = 0;
--- a/src/app/router_duty.cc
+++ b/src/app/router_duty.cc
@@ -21,13 +21,15 @@
 router_duty::router_duty(const instance_settings& settings,
                          const instance_identity& self, timer_service& timer,
                          peer_port& peers, platform_port& platform,
-                         steward_ring& stewards, router_ring& inbox)
+                         steward_ring& stewards, metrics_sink& metrics,
+                         router_ring& inbox)
     : settings_(settings),
       self_(self),
       timer_(timer),
       peers_(peers),
       platform_(platform),
       stewards_(stewards),
+      metrics_(metrics),
       inbox_(inbox) {}
 
 router_duty::~router_duty() { Stop(); }
@@ -150,6 +152,8 @@
 
 void router_duty::Handle(status_query& event) { event.reply("{}"); }
 
+void router_duty::Handle(explain_query& event) { event.reply(""); }
+
 void router_duty::Handle(drain_event& event) { event.done(); }
 
 std::string router_duty::StewardOf(const std::string& upstream) const {
--- a/src/app/router_duty.h
+++ b/src/app/router_duty.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "app/duty_thread.h"
+#include "coordination/metrics_sink.h"
 #include "coordination/ports.h"
 #include "coordination/timer_service.h"
 #include "state/events.h"
@@ -18,7 +19,8 @@
  public:
   router_duty(const instance_settings& settings, const instance_identity& self,
               timer_service& timer, peer_port& peers, platform_port& platform,
-              steward_ring& stewards, router_ring& inbox);
+              steward_ring& stewards, metrics_sink& metrics,
+              router_ring& inbox);
   ~router_duty();
 
   void Start();
@@ -42,6 +44,7 @@
   void Handle(peer_link_event& event);
   void Handle(platform_event& event);
   void Handle(status_query& event);
+  void Handle(explain_query& event);
   void Handle(drain_event& event);
 
   std::string StewardOf(const std::string& upstream) const;
@@ -55,6 +58,7 @@
   peer_port& peers_;
   platform_port& platform_;
   steward_ring& stewards_;
+  metrics_sink& metrics_;
   router_ring& inbox_;
   duty_thread thread_;
   timer_service::subscription subscription_ = 0;
--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include "app/control_duty.h"
+#include "app/metrics_registry.h"
+#include "app/readiness.h"
 #include "app/router_duty.h"
 #include "app/steward_duty.h"
 #include "protocol/caller_codec.h"
@@ -23,7 +25,9 @@
 constexpr std::size_t kRouterRing = 16384;
 constexpr std::size_t kStewardRing = 65536;
 constexpr std::size_t kControlRing = 16384;
+constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
 constexpr std::chrono::milliseconds kQuietBeforeClose{500};
 
 instance_identity NewLife(const std::string& name) {
@@ -46,11 +50,11 @@
         platform_(settings_.platform, control_ring_, router_ring_),
         upstreams_(steward_ring_),
         router_(settings_, self_, timer_, peers_, platform_, steward_ring_,
-                router_ring_),
+                metrics_, router_ring_),
         stewards_(settings_, self_, timer_, peers_, upstreams_, router_ring_,
-                  steward_ring_),
+                  metrics_, steward_ring_),
         control_(settings_, self_, timer_, peers_, platform_, router_ring_,
-                 steward_ring_, control_ring_),
+                 steward_ring_, readiness_, metrics_, control_ring_),
         callers_("callers", settings_.limits,
                  [this](const http_request& request,
                         const http_server::responder& respond) {
@@ -98,6 +102,9 @@
 
   void OnCaller(const http_request& request,
                 const http_server::responder& respond) {
+    if (request.method == "GET" && request.target == "/ready") {
+      return respond(FormatReady());
+    }
     if (request.method != "POST" || request.target != "/query") {
       http_response response =
           FormatCallerError({error_kind::kInvalidInput, "target",
@@ -126,11 +133,19 @@
                                "try again, or ask another instance"}));
   }
 
+  http_response FormatReady() const {
+    const std::string reason = readiness_.ReasonNotReady();
+    if (reason.empty()) return {kStatusOk, "text/plain", "ready\n"};
+    return {kStatusUnavailable, "text/plain", reason + "\n"};
+  }
+
   const instance_settings settings_;
   const instance_identity self_;
   router_ring router_ring_;
   steward_ring steward_ring_;
   control_ring control_ring_;
+  readiness readiness_;
+  metrics_registry metrics_;
   timer_thread timer_;
   peer_links peers_;
   platform_links platform_;
--- a/src/app/steward_duty.cc
+++ b/src/app/steward_duty.cc
@@ -20,13 +20,15 @@
 steward_duty::steward_duty(const instance_settings& settings,
                            const instance_identity& self, timer_service& timer,
                            peer_port& peers, upstream_port& upstreams,
-                           router_ring& router, steward_ring& inbox)
+                           router_ring& router, metrics_sink& metrics,
+                           steward_ring& inbox)
     : settings_(settings),
       self_(self),
       timer_(timer),
       peers_(peers),
       upstreams_(upstreams),
       router_(router),
+      metrics_(metrics),
       inbox_(inbox) {}
 
 steward_duty::~steward_duty() { Stop(); }
@@ -128,6 +130,8 @@
 
 void steward_duty::Handle(handover_event& /*event*/) {}
 
+void steward_duty::Handle(handover_request& event) { event.reply({}); }
+
 void steward_duty::Handle(peer_link_event& /*event*/) {}
 
 void steward_duty::Handle(status_query& event) { event.reply("{}"); }
--- a/src/app/steward_duty.h
+++ b/src/app/steward_duty.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "app/duty_thread.h"
+#include "coordination/metrics_sink.h"
 #include "coordination/ports.h"
 #include "coordination/timer_service.h"
 #include "state/events.h"
@@ -21,7 +22,7 @@
  public:
   steward_duty(const instance_settings& settings, const instance_identity& self,
                timer_service& timer, peer_port& peers, upstream_port& upstreams,
-               router_ring& router, steward_ring& inbox);
+               router_ring& router, metrics_sink& metrics, steward_ring& inbox);
   ~steward_duty();
 
   void Start();
@@ -52,6 +53,7 @@
   void Handle(connection_failed& event);
   void Handle(exchange_reply& event);
   void Handle(handover_event& event);
+  void Handle(handover_request& event);
   void Handle(peer_link_event& event);
   void Handle(status_query& event);
   void Handle(drain_event& event);
@@ -65,6 +67,7 @@
   peer_port& peers_;
   upstream_port& upstreams_;
   router_ring& router_;
+  metrics_sink& metrics_;
   steward_ring& inbox_;
   duty_thread thread_;
   timer_service::subscription subscription_ = 0;
--- a/src/coordination/ports.h
+++ b/src/coordination/ports.h
@@ -41,6 +41,14 @@
   virtual bool Send(upstream_command command) = 0;
 };
 
+/// Tells the balancer, through GET /ready, whether to send work here.
+class readiness_port {
+ public:
+  virtual ~readiness_port() = default;
+  /// `reason` says why not, for the balancer's operator.
+  virtual void SetReady(bool ready, const std::string& reason) = 0;
+};
+
 }  // namespace papayaglade
 
 #endif  // PAPAYAGLADE_COORDINATION_PORTS_H_
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -80,6 +80,13 @@
   std::function<void(std::string json)> reply;
 };
 
+/// Asks the router for the account of a recent request, as JSON text; empty
+/// when the bounded history does not hold it.
+struct explain_query {
+  std::string request_id;
+  std::function<void(std::string json)> reply;
+};
+
 /// Asks a duty to finish what it accepted; the duty reports by `done`.
 struct drain_event {
   std::function<void()> done;
@@ -87,7 +94,8 @@
 
 using router_event =
     std::variant<tick, view_update, caller_event, results_event,
-                 peer_link_event, platform_event, status_query, drain_event>;
+                 peer_link_event, platform_event, status_query, explain_query,
+                 drain_event>;
 
 // Towards and from the upstreams duty.
 
@@ -156,10 +164,18 @@
   std::vector<handover> upstreams;
 };
 
+/// Asks the stewards duty to end its stewardship of `upstreams` (all, if
+/// empty) and to report their states; nothing new is sent to them from then.
+struct handover_request {
+  std::vector<std::string> upstreams;
+  std::function<void(std::vector<handover>)> reply;
+};
+
 using steward_event =
     std::variant<tick, view_update, standing_update, batch_event, cancel_event,
                  connection_opened, connection_failed, exchange_reply,
-                 handover_event, peer_link_event, status_query, drain_event>;
+                 handover_event, handover_request, peer_link_event,
+                 status_query, drain_event>;
 
 using control_duty_event =
     std::variant<tick, control_event, peer_link_event, platform_event,
