Give the stand-ins the faults that scenarios need

The first stand-ins answered every call at once and could not fail.

A relay stands in front of an instance only when the instance listens elsewhere than its peers dial, so the settings get peers_listen; and it must know whose connection it passes, so the opening request of a peer link names the dialler.

--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -64,7 +64,7 @@
   std::string Start() {
     std::string failed = callers_.Listen(settings_.callers);
     if (!failed.empty()) return BindFailure("callers", failed);
-    failed = peers_.Listen(settings_.peers);
+    failed = peers_.Listen(settings_.peers_listen);
     if (!failed.empty()) return BindFailure("peers", failed);
     timer_.Start();
     upstreams_.Start();
--- a/src/protocol/settings_codec.cc
+++ b/src/protocol/settings_codec.cc
@@ -84,6 +84,9 @@
   result.callers = ReadEndpoint(reader.Object("callers"));
   result.operators = ReadEndpoint(reader.Object("operators"));
   result.peers = ReadEndpoint(reader.Object("peers"));
+  result.peers_listen = reader.Has("peers_listen")
+                            ? ReadEndpoint(reader.Object("peers_listen"))
+                            : result.peers;
   result.platform = ReadEndpoint(reader.Object("platform"));
   result.peer_key = reader.RequiredString("peer_key");
   if (!result.peer_key.empty() && result.peer_key.size() < kShortestPeerKey) {
--- a/src/state/instance_settings.h
+++ b/src/state/instance_settings.h
@@ -34,11 +34,12 @@
 struct instance_settings {
   std::string name;
   std::string data_centre;
-  endpoint callers;      ///< HTTP for callers.
-  endpoint operators;    ///< HTTP for metrics, status and orders.
-  endpoint peers;        ///< Peer links from other instances.
-  endpoint platform;     ///< The Object API.
-  std::string peer_key;  ///< Shared by all instances; never logged.
+  endpoint callers;       ///< HTTP for callers.
+  endpoint operators;     ///< HTTP for metrics, status and orders.
+  endpoint peers;         ///< Where other instances dial peer links.
+  endpoint peers_listen;  ///< Where they arrive, behind a port mapping.
+  endpoint platform;      ///< The Object API.
+  std::string peer_key;   ///< Shared by all instances; never logged.
   std::chrono::milliseconds platform_timeout{1000};
   double platform_calls_per_second = 5.0;
   coordination_settings coordination;
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -192,6 +192,8 @@
       return OnDialFailed(peer, peer_link_event::link_state::kClosed);
     }
     state.dialling = true;
+    // Tells whatever stands between the two ends whose connection this is.
+    connection->append_header("X-Papayaglade-Instance", self_.name);
     connection->set_open_handler([this, peer](const link_handle& handle) {
       AddLink(handle, true, peer);
     });
--- /dev/null
+++ b/tests/standin/call_counter.h
@@ -0,0 +1,42 @@
+#ifndef PAPAYAGLADE_TESTS_STANDIN_CALL_COUNTER_H_
+#define PAPAYAGLADE_TESTS_STANDIN_CALL_COUNTER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "state/time.h"
+
+namespace papayaglade {
+
+/// Counts calls by caller and operation, and the most in any one second.
+class call_counter {
+ public:
+  void Count(const std::string& caller, const std::string& operation,
+             monotonic_time now) {
+    ++calls_[caller][operation];
+    const auto second =
+        std::chrono::floor<std::chrono::seconds>(now.time_since_epoch());
+    if (second != second_) {
+      second_ = second;
+      in_second_ = 0;
+    }
+    most_in_second_ = std::max(most_in_second_, ++in_second_);
+  }
+
+  nlohmann::json Summary() const {
+    return {{"calls", calls_}, {"most_in_a_second", most_in_second_}};
+  }
+
+ private:
+  std::map<std::string, std::map<std::string, std::uint64_t>> calls_;
+  std::chrono::seconds second_{0};
+  std::uint64_t in_second_ = 0;
+  std::uint64_t most_in_second_ = 0;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TESTS_STANDIN_CALL_COUNTER_H_
--- a/tests/standin/main.cc
+++ b/tests/standin/main.cc
@@ -1,33 +1,48 @@
-#include <unistd.h>
-
+#include <fstream>
 #include <iostream>
-#include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
-#include "platform_standin.h"
-#include "upstream_standin.h"
+#include "standin_process.h"
+
+namespace {
+
+using nlohmann::json;
 
-// Usage: standin platform PORT | standin upstreams FIRST-PORT NAME...
+// The short forms start stand-ins that need no control port.
+json ReadDefinition(const std::vector<std::string>& arguments) {
+  if (arguments.size() == 1) {
+    std::ifstream file(arguments[0]);
+    return json::parse(file);
+  }
+  const int port = std::stoi(arguments.at(1));
+  if (arguments[0] == "platform") {
+    return {{"platform", {{"ports", {{{"caller", ""}, {"port", port}}}}}}};
+  }
+  json upstreams = json::array();
+  for (std::size_t i = 2; i < arguments.size(); ++i) {
+    upstreams.push_back({{"name", arguments[i]}, {"port", port + i - 2}});
+  }
+  return {{"upstreams", upstreams}};
+}
+
+}  // namespace
+
+// Usage: standin FILE.json | standin platform PORT |
+//        standin upstreams FIRST-PORT NAME...
 int main(int argc, char** argv) {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
-  const auto port = static_cast<std::uint16_t>(std::stoi(arguments.at(1)));
-  papayaglade::platform_standin platform;
-  std::vector<std::unique_ptr<papayaglade::upstream_standin>> upstreams;
-  std::string failed;
-  if (arguments.at(0) == "platform") {
-    failed = platform.Start({"127.0.0.1", port});
-  }
-  for (std::size_t i = 2; i < arguments.size() && failed.empty(); ++i) {
-    upstreams.push_back(
-        std::make_unique<papayaglade::upstream_standin>(arguments[i]));
-    const auto own = static_cast<std::uint16_t>(port + i - 2);
-    failed = upstreams.back()->Start({"127.0.0.1", own});
+  if (arguments.empty()) {
+    std::cerr << "name a definition file, see docs/SCENARIOS.md\n";
+    return 1;
   }
+  papayaglade::standin_process process(ReadDefinition(arguments));
+  const std::string failed = process.Open();
   if (!failed.empty()) {
-    std::cerr << failed << "\n";
+    std::cerr << "cannot open the port of " << failed << "\n";
     return 1;
   }
-  pause();
+  process.Run();
   return 0;
 }
--- a/tests/standin/platform_standin.cc
+++ b/tests/standin/platform_standin.cc
@@ -1,5 +1,6 @@
 #include "platform_standin.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <vector>
 
 namespace papayaglade {
@@ -7,87 +8,240 @@
 namespace {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
 
-port_limits WideLimits() {
-  port_limits limits;
-  limits.body_bytes = 2UL * 1024 * 1024;
-  return limits;
-}
+constexpr std::size_t kLargestValue = 1024UL * 1024;
+constexpr std::uint64_t kKeptRevisions = 1000;
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusGone = 410;
+constexpr int kStatusTooLarge = 413;
 
-std::vector<std::string> Segments(const std::string& path) {
-  std::vector<std::string> segments;
-  std::size_t start = 1;
-  while (start <= path.size()) {
-    const std::size_t end = std::min(path.find('/', start), path.size());
-    segments.push_back(path.substr(start, end - start));
+std::vector<std::string> Split(const std::string& text, char separator) {
+  std::vector<std::string> parts;
+  std::size_t start = 0;
+  while (start <= text.size()) {
+    const std::size_t end = std::min(text.find(separator, start), text.size());
+    parts.push_back(text.substr(start, end - start));
     start = end + 1;
   }
-  return segments;
+  return parts;
+}
+
+std::map<std::string, std::uint64_t> QueryNumbers(const std::string& query) {
+  std::map<std::string, std::uint64_t> numbers;
+  for (const std::string& part : Split(query, '&')) {
+    const std::size_t mark = part.find('=');
+    if (mark == std::string::npos) continue;
+    numbers[part.substr(0, mark)] = std::stoull(part.substr(mark + 1));
+  }
+  return numbers;
 }
 
-http_response Answer(int status, const json& body) {
+http_response Reply(int status, const json& body = json::object()) {
   return {status, "application/json", body.dump()};
 }
 
+// Calls `then` after `delay`.
+template <typename Then>
+void After(boost::asio::io_context& io, milliseconds delay, Then then) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io, delay);
+  timer->async_wait([timer, then = std::move(then)](
+                        const boost::system::error_code&) { then(); });
+}
+
 }  // namespace
 
-platform_standin::platform_standin()
-    : server_("platform", WideLimits(),
-              [this](const http_request& request,
-                     const http_server::responder& respond) {
-                respond(Handle(request));
-              }) {}
-
-std::string platform_standin::Start(const endpoint& address) {
-  std::string failed = server_.Listen(address);
-  if (failed.empty()) server_.Start();
-  return failed;
-}
-
-http_response platform_standin::Handle(const http_request& request) {
-  const std::size_t mark = request.target.find('?');
-  const auto segments = Segments(request.target.substr(0, mark));
-  if (segments[0] != "objects" || segments.size() < 2) {
-    return Answer(404, json::object());
-  }
-  if (segments.size() == 2) return Answer(200, List(segments[1]));
-  if (request.method == "PUT") {
-    const std::size_t version = request.target.find("version=");
-    return Put(segments[1], segments[2],
-               std::stoull(request.target.substr(version + 8)), request.body);
-  }
-  const auto found = objects_.find({segments[1], segments[2]});
-  if (found == objects_.end()) return Answer(404, json::object());
-  return Answer(200, {{"kind", segments[1]},
-                      {"name", segments[2]},
-                      {"version", found->second.version},
-                      {"value", found->second.value}});
-}
-
-http_response platform_standin::Put(const std::string& kind,
-                                    const std::string& name,
-                                    std::uint64_t expected,
-                                    const std::string& body) {
-  object& stored = objects_[{kind, name}];
-  if (stored.version != expected) {
-    return Answer(409, {{"version", stored.version}, {"value", stored.value}});
-  }
-  stored.value = json::parse(body);
+platform_standin::platform_standin(boost::asio::io_context& io,
+                                   const json& definition)
+    : io_(io), lag_(definition.value("lag_ms", 0)) {
+  for (const json& each : definition.at("ports")) {
+    entrance& added = entrances_.emplace_back();
+    added.caller = each.at("caller");
+    added.port = std::make_unique<http_port>(
+        io, each.at("port").get<std::uint16_t>(),
+        [this, &added](const http_request& request,
+                       const http_port::responder& respond) {
+          Receive(added, request, respond);
+        });
+  }
+}
+
+bool platform_standin::Open() {
+  bool opened = true;
+  for (entrance& each : entrances_) opened = each.port->Open() && opened;
+  return opened;
+}
+
+void platform_standin::Command(const json& command) {
+  const std::string action = command.at("do");
+  if (action == "refuse") return SetOutage(command, outage_mode::kRefuse);
+  if (action == "hang") return SetOutage(command, outage_mode::kHang);
+  if (action == "slow") return SetOutage(command, outage_mode::kSlow);
+  if (action == "heal") return SetOutage(command, outage_mode::kNone);
+  if (action == "lose") {
+    answers_to_lose_[command.at("kind")] += command.value("count", 1);
+  } else if (action == "mark") {
+    marked_ = objects_;
+    marked_revision_ = revision_;
+  } else if (action == "reset") {
+    objects_ = marked_;
+    revision_ = marked_revision_;
+  } else if (action == "instances") {
+    After(io_, lag_,
+          [this, listed = command.at("instances")] { instances_ = listed; });
+  }
+}
+
+json platform_standin::Summary() const {
+  json summary = calls_.Summary();
+  summary["revision"] = revision_;
+  for (const auto& each : objects_) {
+    if (each.second.version == 0) continue;
+    summary["objects"][each.first.first][each.first.second] = {
+        {"version", each.second.version}, {"value", each.second.value}};
+  }
+  return summary;
+}
+
+void platform_standin::SetOutage(const json& command, outage_mode mode) {
+  const std::string caller = command.value("caller", "");
+  for (entrance& each : entrances_) {
+    if (!caller.empty() && each.caller != caller) continue;
+    // Ending a hang resets what was left unanswered, as a restart would.
+    if (each.outage != outage_mode::kNone || mode == outage_mode::kRefuse) {
+      each.port->Close();
+      watches_.remove_if(
+          [&each](const waiting_watch& watch) { return watch.from == &each; });
+    }
+    each.outage = mode;
+    each.delay = milliseconds(command.value("delay_ms", 0));
+    if (mode != outage_mode::kRefuse) each.port->Open();
+  }
+}
+
+void platform_standin::Receive(entrance& from, const http_request& request,
+                               const http_port::responder& respond) {
+  if (from.outage == outage_mode::kHang) return;
+  if (from.outage != outage_mode::kSlow) return Handle(from, request, respond);
+  After(io_, from.delay,
+        [this, &from, request, respond] { Handle(from, request, respond); });
+}
+
+void platform_standin::Handle(entrance& from, const http_request& request,
+                              const http_port::responder& respond) {
+  const auto target = Split(request.target, '?');
+  const auto path = Split(target[0], '/');
+  if (path.size() < 2) return respond(Reply(kStatusNotFound));
+  call made{&request, path.size() > 2 ? path[2] : "",
+            path.size() > 3 ? path[3] : "",
+            QueryNumbers(target.size() > 1 ? target[1] : "")};
+  const std::string operation =
+      path[1] == "objects" ? (made.name.empty() ? "LIST" : request.method)
+                           : path[1];
+  calls_.Count(from.caller, operation + " " + made.kind,
+               monotonic_clock::now());
+  if (path[1] == "instances") {
+    return respond(Reply(kStatusOk, {{"instances", instances_}}));
+  }
+  if (path[1] == "watch") return Watch(from, made, respond);
+  if (operation == "LIST") {
+    return respond(Reply(kStatusOk, List(made.kind, 0)));
+  }
+  if (operation == "GET") return respond(Get(made));
+  if (operation != "PUT") return respond(Reply(kStatusBadRequest));
+  http_response answer = Put(made);
+  int& to_lose = answers_to_lose_[made.kind];
+  if (answer.status != kStatusOk || to_lose == 0) return respond(answer);
+  --to_lose;
+  respond(std::nullopt);
+}
+
+http_response platform_standin::Get(const call& made) const {
+  const auto found = objects_.find({made.kind, made.name});
+  if (found == objects_.end() || found->second.version == 0) {
+    return Reply(kStatusNotFound);
+  }
+  return Reply(kStatusOk, {{"kind", made.kind},
+                           {"name", made.name},
+                           {"version", found->second.version},
+                           {"value", found->second.value}});
+}
+
+http_response platform_standin::Put(const call& made) {
+  const std::string& body = made.request->body;
+  if (body.size() > kLargestValue) return Reply(kStatusTooLarge);
+  json value = json::parse(body, nullptr, false);
+  const auto expected = made.numbers.find("version");
+  if (!value.is_object() || expected == made.numbers.end()) {
+    return Reply(kStatusBadRequest);
+  }
+  object& stored = objects_[{made.kind, made.name}];
+  if (stored.version != expected->second) {
+    return Reply(kStatusConflict,
+                 {{"version", stored.version}, {"value", stored.value}});
+  }
+  stored.value = std::move(value);
   stored.revision = ++revision_;
   ++stored.version;
-  return Answer(200, {{"version", stored.version}});
+  const std::uint64_t version = stored.version;
+  NotifyWatches(made.kind);
+  return Reply(kStatusOk, {{"version", version}});
+}
+
+void platform_standin::Watch(const entrance& from, const call& made,
+                             const http_port::responder& respond) {
+  const auto after = made.numbers.find("after");
+  const auto wait = made.numbers.find("wait_ms");
+  if (after == made.numbers.end() || wait == made.numbers.end()) {
+    return respond(Reply(kStatusBadRequest));
+  }
+  const bool forgotten = after->second + kKeptRevisions < revision_;
+  if (forgotten || after->second > revision_) {
+    return respond(Reply(kStatusGone));
+  }
+  const json changed = List(made.kind, after->second);
+  if (!changed.at("objects").empty()) {
+    return respond(Reply(kStatusOk, changed));
+  }
+  const std::uint64_t id = ++last_watch_;
+  watches_.push_back({id, &from, made.kind, after->second, respond});
+  After(io_, milliseconds(wait->second), [this, id] { EndWatch(id); });
+}
+
+void platform_standin::EndWatch(std::uint64_t id) {
+  for (auto each = watches_.begin(); each != watches_.end(); ++each) {
+    if (each->id != id) continue;
+    const waiting_watch ended = *each;
+    watches_.erase(each);
+    if (ended.from->outage == outage_mode::kHang) return;
+    return ended.respond(Reply(kStatusOk, List(ended.kind, ended.after)));
+  }
+}
+
+void platform_standin::NotifyWatches(const std::string& kind) {
+  std::vector<std::uint64_t> due;
+  for (const waiting_watch& each : watches_) {
+    if (each.kind == kind) due.push_back(each.id);
+  }
+  for (const std::uint64_t id : due) EndWatch(id);
 }
 
-json platform_standin::List(const std::string& kind) const {
+json platform_standin::List(const std::string& kind,
+                            std::uint64_t after) const {
   json objects = json::array();
   for (const auto& each : objects_) {
-    if (each.first.first != kind || each.second.version == 0) continue;
+    const object& stored = each.second;
+    if (each.first.first != kind || stored.version == 0) continue;
+    if (stored.revision <= after) continue;
     objects.push_back({{"kind", kind},
                        {"name", each.first.second},
-                       {"version", each.second.version},
-                       {"value", each.second.value}});
+                       {"version", stored.version},
+                       {"value", stored.value}});
   }
-  return {{"revision", revision_}, {"objects", objects}};
+  return {{"revision", revision_}, {"objects", std::move(objects)}};
 }
 
 }  // namespace papayaglade
--- a/tests/standin/platform_standin.h
+++ b/tests/standin/platform_standin.h
@@ -1,21 +1,33 @@
 #ifndef PAPAYAGLADE_TESTS_STANDIN_PLATFORM_STANDIN_H_
 #define PAPAYAGLADE_TESTS_STANDIN_PLATFORM_STANDIN_H_
 
+#include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
+#include <list>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
-#include "transport/http_server.h"
+#include "call_counter.h"
+#include "http_port.h"
 
 namespace papayaglade {
 
-/// The platform's Object API as docs/PROTOCOLS.md describes it, in memory.
+/// The platform's Object API as docs/PROTOCOLS.md describes it, in memory. It
+/// has a port for each caller, so that calls can be counted and cut by caller.
 class platform_standin {
  public:
-  platform_standin();
-  std::string Start(const endpoint& address);
+  /// `definition`: {"ports":[{"caller","port"}],"lag_ms"}.
+  platform_standin(boost::asio::io_context& io,
+                   const nlohmann::json& definition);
+
+  bool Open();
+  /// Faults: refuse, hang, slow, heal, lose, mark, reset, instances.
+  void Command(const nlohmann::json& command);
+  nlohmann::json Summary() const;
 
  private:
   struct object {
@@ -23,15 +35,53 @@
     std::uint64_t revision = 0;
     nlohmann::json value;
   };
+  using object_map = std::map<std::pair<std::string, std::string>, object>;
+  enum class outage_mode { kNone, kRefuse, kHang, kSlow };
+  struct entrance {
+    std::string caller;
+    std::unique_ptr<http_port> port;
+    outage_mode outage = outage_mode::kNone;
+    std::chrono::milliseconds delay{0};
+  };
+  struct waiting_watch {
+    std::uint64_t id = 0;
+    const entrance* from = nullptr;
+    std::string kind;
+    std::uint64_t after = 0;
+    http_port::responder respond;
+  };
+  struct call {
+    const http_request* request;
+    std::string kind;
+    std::string name;
+    std::map<std::string, std::uint64_t> numbers;  ///< Of the target's query.
+  };
 
-  http_response Handle(const http_request& request);
-  http_response Put(const std::string& kind, const std::string& name,
-                    std::uint64_t expected, const std::string& body);
-  nlohmann::json List(const std::string& kind) const;
+  void Receive(entrance& from, const http_request& request,
+               const http_port::responder& respond);
+  void Handle(entrance& from, const http_request& request,
+              const http_port::responder& respond);
+  http_response Get(const call& made) const;
+  http_response Put(const call& made);
+  void Watch(const entrance& from, const call& made,
+             const http_port::responder& respond);
+  void EndWatch(std::uint64_t id);
+  void NotifyWatches(const std::string& kind);
+  void SetOutage(const nlohmann::json& command, outage_mode mode);
+  nlohmann::json List(const std::string& kind, std::uint64_t after) const;
 
-  std::map<std::pair<std::string, std::string>, object> objects_;
+  boost::asio::io_context& io_;
+  std::list<entrance> entrances_;
+  std::chrono::milliseconds lag_;
+  object_map objects_;
   std::uint64_t revision_ = 0;
-  http_server server_;
+  object_map marked_;
+  std::uint64_t marked_revision_ = 0;
+  nlohmann::json instances_ = nlohmann::json::array();
+  std::map<std::string, int> answers_to_lose_;  ///< By kind.
+  std::list<waiting_watch> watches_;
+  std::uint64_t last_watch_ = 0;
+  call_counter calls_;
 };
 
 }  // namespace papayaglade
--- a/tests/standin/upstream_standin.cc
+++ b/tests/standin/upstream_standin.cc
@@ -1,39 +1,317 @@
 #include "upstream_standin.h"
 
-#include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 namespace papayaglade {
 
 namespace {
 
 using nlohmann::json;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusGone = 410;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusEnded = 504;
+constexpr milliseconds kDownAfterOverload{300};
+// Answers that show a new incarnation need a moment to reach the sender;
+// until then work over the bound is refused instead of counted against it.
+constexpr milliseconds kNoticeTime{50};
+constexpr int kHitsPerShard = 2;
+
+http_response Reply(int status, const json& body) {
+  return {status, "application/json", body.dump()};
+}
 
 }  // namespace
 
-upstream_standin::upstream_standin(std::string name)
-    : name_(std::move(name)),
-      server_("upstream", port_limits(),
-              [this](const http_request& request,
-                     const http_server::responder& respond) {
-                respond(Handle(request));
-              }) {}
-
-std::string upstream_standin::Start(const endpoint& address) {
-  std::string failed = server_.Listen(address);
-  if (failed.empty()) server_.Start();
-  return failed;
-}
-
-http_response upstream_standin::Handle(const http_request& request) {
-  const json body = json::parse(request.body);
-  const auto shard = body.at("shard").get<std::string>();
-  const auto query = body.at("query").get<std::string>();
-  const json hits =
-      json::array({json::array({shard + "/1", 1.0, query + " from " + name_})});
-  const json answer = {
-      {"snapshot", body.at("snapshot")}, {"incarnation", "1"}, {"hits", hits}};
-  return {200, "application/json", answer.dump()};
+upstream_standin::upstream_standin(boost::asio::io_context& io,
+                                   upstream_profile profile)
+    : io_(io),
+      profile_(std::move(profile)),
+      port_(io, profile_.port,
+            [this](const http_request& request,
+                   const http_port::responder& respond) {
+              Handle(request, respond);
+            }),
+      restart_(io),
+      random_(profile_.seed) {
+  port_.SetConnectionLimit(profile_.connections);
+  SetPhase(phase::kWarm);
+  if (profile_.starts_cold) {
+    GoCold();
+    cold_shown_ = cold_since_;
+  }
+}
+
+bool upstream_standin::Open() { return port_.Open(); }
+
+void upstream_standin::Command(const json& command) {
+  const std::string action = command.at("do");
+  if (action == "set") {
+    profile_.Apply(command);
+    port_.SetConnectionLimit(profile_.connections);
+  } else if (action == "go_cold" && command.value("in_place", false)) {
+    GoCold();
+  } else if (action == "go_cold") {
+    Restart(milliseconds(command.value("down_ms", 100)));
+  } else if (action == "leave") {
+    refuses_when_leaving_ = command.value("refusing", false);
+    SetPhase(phase::kLeaving);
+    log_.Record("leaving", "");
+  } else if (action == "return" || action == "up") {
+    Restart(milliseconds(0));
+  } else if (action == "down") {
+    Restart(std::chrono::hours(1));
+  } else if (action == "silence") {
+    port_.SilenceOpen(milliseconds(command.value("hold_ms", 5000)));
+    log_.Record("silenced", "");
+  } else if (action == "lose") {
+    answers_to_lose_ += command.value("count", 1);
+  }
+}
+
+json upstream_standin::Summary() const {
+  json summary = log_.Summary();
+  summary["state"] = PhaseName(phase_);
+  summary["incarnation"] = incarnation_;
+  summary["in_flight"] = running_.size();
+  summary["connections"] = port_.Connections();
+  summary["most_connections"] = port_.MostConnections();
+  summary["refused_connections"] = port_.RefusedConnections();
+  return summary;
+}
+
+void upstream_standin::Handle(const http_request& request,
+                              const http_port::responder& respond) {
+  if (request.target == "/health") return respond(Health());
+  json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object()) return respond(Reply(kStatusBadRequest, {}));
+  if (request.target == "/cancel") return respond(Cancel(body));
+  const bool is_run = request.target == "/run";
+  const bool known = is_run || request.target == "/search";
+  if (!known) return respond(Reply(kStatusBadRequest, {}));
+  Receive(std::move(body), is_run, respond);
+}
+
+void upstream_standin::Receive(json body, bool is_run,
+                               const http_port::responder& respond) {
+  const monotonic_time now = monotonic_clock::now();
+  log_.Arrival(now);
+  Proceed();
+  const std::string refusal = Refusal(now);
+  if (refusal == "overload") {
+    log_.Record("overload", body.dump());
+    return Restart(kDownAfterOverload);
+  }
+  if (!refusal.empty()) {
+    log_.Count("refused_" + refusal);
+    if (refusal == "cold" && !cold_shown_) cold_shown_ = now;
+    return respond(Reply(kStatusUnavailable, {{"refused", refusal}}));
+  }
+  const bool held =
+      is_run || profile_.snapshots.empty() || profile_.other_snapshot ||
+      profile_.snapshots.count(body.value("snapshot", std::uint64_t{0})) > 0;
+  if (!held) {
+    log_.Count("snapshot_gone");
+    return respond(Reply(kStatusGone, {{"snapshots", profile_.snapshots}}));
+  }
+  Begin(std::move(body), is_run, respond);
+}
+
+std::string upstream_standin::Refusal(monotonic_time now) {
+  if (phase_ == phase::kLeaving && refuses_when_leaving_) return "leaving";
+  const int in_flight = InFlight();
+  if (phase_ != phase::kCold) {
+    return in_flight >= profile_.slots ? "shed" : "";
+  }
+  if (in_flight < profile_.cold_slots) return "";
+  const bool noticed = cold_shown_ && now >= *cold_shown_ + kNoticeTime;
+  return noticed ? "overload" : "cold";
+}
+
+void upstream_standin::Begin(json body, bool is_run,
+                             const http_port::responder& respond) {
+  const auto attempt = body.value("attempt", std::string());
+  if (is_run) log_.Run(body.value("query", std::string()));
+  const microseconds service = ServiceTime();
+  const microseconds left(body.value("deadline_us", std::int64_t{0}));
+  running_request& begun = running_[attempt];
+  begun.incarnation = incarnation_;
+  begun.is_run = is_run;
+  begun.in_time = left.count() <= 0 || service <= left;
+  begun.respond = respond;
+  begun.end = std::make_unique<boost::asio::steady_timer>(
+      io_, begun.in_time ? service : left);
+  if (profile_.logs) {
+    log_.Begin(body.value("request_id", std::string()) + "|" +
+                   body.value("shard", std::string()),
+               InFlight(), phase_ == phase::kCold);
+  }
+  begun.body = std::move(body);
+  begun.end->async_wait(
+      [this, attempt](const boost::system::error_code& failed) {
+        if (!failed) End(attempt);
+      });
+}
+
+void upstream_standin::End(const std::string& attempt) {
+  const auto found = running_.find(attempt);
+  if (found == running_.end()) return;
+  const running_request ended = std::move(found->second);
+  running_.erase(found);
+  if (ended.in_time) return Serve(ended);
+  log_.Count("expired");
+  ended.respond(Reply(kStatusEnded, {{"ended", "deadline"}}));
+}
+
+void upstream_standin::Serve(const running_request& ended) {
+  log_.Count("served");
+  if (phase_ == phase::kCold) {
+    ++served_since_cold_;
+    if (!cold_shown_) cold_shown_ = monotonic_clock::now();
+  }
+  if (answers_to_lose_ > 0) {
+    --answers_to_lose_;
+    log_.Record("answer_lost", ended.body.dump());
+    return ended.respond(std::nullopt);
+  }
+  ended.respond(Hits(ended.body, ended.is_run));
+}
+
+http_response upstream_standin::Cancel(const json& body) {
+  json ended = json::array();
+  for (const json& each : body.value("attempts", json::array())) {
+    ended.push_back(each);
+    const auto found = running_.find(each.get<std::string>());
+    if (found == running_.end()) continue;
+    log_.Count("cancelled");
+    const http_port::responder respond = found->second.respond;
+    running_.erase(found);
+    respond(Reply(kStatusEnded, {{"ended", "cancelled"}}));
+  }
+  return Reply(kStatusOk, {{"ended", ended}});
+}
+
+http_response upstream_standin::Health() {
+  log_.Count("health");
+  Proceed();
+  const monotonic_time shown = monotonic_clock::now() - profile_.health_lag;
+  while (history_.size() > 1 && history_[1].since <= shown) {
+    history_.pop_front();
+  }
+  const phase told = profile_.health_lies ? phase::kWarm : history_[0].now;
+  if (told == phase::kCold && !cold_shown_) {
+    cold_shown_ = monotonic_clock::now();
+  }
+  return Reply(kStatusOk, {{"state", PhaseName(told)},
+                           {"incarnation", std::to_string(incarnation_)},
+                           {"in_flight", profile_.health_lies ? 0 : InFlight()},
+                           {"slots", profile_.slots},
+                           {"snapshots", profile_.snapshots}});
+}
+
+http_response upstream_standin::Hits(const json& body, bool is_run) const {
+  const auto query = body.value("query", std::string());
+  const auto shard =
+      is_run ? std::string("run") : body.value("shard", std::string());
+  const std::uint64_t asked = body.value("snapshot", std::uint64_t{0});
+  const std::uint64_t snapshot =
+      profile_.other_snapshot ? NewestSnapshot() : asked;
+  const std::string text = query + " from " + profile_.name + " shard " +
+                           shard + " snapshot " + std::to_string(snapshot);
+  json hits = json::array();
+  for (int i = 0; i < (is_run ? 1 : kHitsPerShard); ++i) {
+    const std::string key = shard + "/" + std::to_string(i);
+    const double score =
+        1.0 + static_cast<double>(std::hash<std::string>{}(key) % 1000) / 1000;
+    hits.push_back({key, score, text});
+  }
+  // The same document stands in every shard; a merge keeps it once.
+  if (!is_run) hits.push_back({"everywhere", 1.0, text});
+  return Reply(kStatusOk, {{"snapshot", snapshot},
+                           {"incarnation", std::to_string(incarnation_)},
+                           {"hits", hits}});
+}
+
+void upstream_standin::Restart(milliseconds down) {
+  running_.clear();
+  SetPhase(phase::kDown);
+  port_.Close();
+  restart_.expires_after(down);
+  restart_.async_wait([this](const boost::system::error_code& failed) {
+    if (failed) return;
+    GoCold();
+    cold_shown_ = cold_since_;
+    port_.Open();
+  });
+}
+
+void upstream_standin::GoCold() {
+  ++incarnation_;
+  served_since_cold_ = 0;
+  cold_since_ = monotonic_clock::now();
+  cold_shown_.reset();
+  SetPhase(phase::kCold);
+  log_.Record("cold", std::to_string(incarnation_));
+}
+
+void upstream_standin::SetPhase(phase next) {
+  phase_ = next;
+  history_.push_back({monotonic_clock::now(), next});
+}
+
+void upstream_standin::Proceed() {
+  if (phase_ != phase::kCold) return;
+  const auto cold_for = monotonic_clock::now() - cold_since_;
+  if (served_since_cold_ < profile_.warm_after_served &&
+      cold_for < profile_.warm_after_time) {
+    return;
+  }
+  SetPhase(phase::kWarm);
+  log_.Record("warm", std::to_string(incarnation_));
+}
+
+// Work that began before a fall into cold is not the sender's fault.
+int upstream_standin::InFlight() const {
+  int count = 0;
+  for (const auto& each : running_) {
+    if (each.second.incarnation == incarnation_) ++count;
+  }
+  return count;
+}
+
+microseconds upstream_standin::ServiceTime() {
+  const std::int64_t jitter = profile_.jitter.count();
+  std::uniform_int_distribution<std::int64_t> around(-jitter, jitter);
+  const microseconds usual = profile_.service + microseconds(around(random_));
+  const bool straggles =
+      profile_.straggler_one_in > 0 &&
+      random_() % static_cast<std::uint64_t>(profile_.straggler_one_in) == 0;
+  if (!straggles) return usual;
+  return std::chrono::duration_cast<microseconds>(usual *
+                                                  profile_.straggler_times);
+}
+
+std::uint64_t upstream_standin::NewestSnapshot() const {
+  return profile_.snapshots.empty() ? 0 : *profile_.snapshots.rbegin();
+}
+
+const char* upstream_standin::PhaseName(phase value) {
+  switch (value) {
+    case phase::kWarm:
+      return "warm";
+    case phase::kCold:
+      return "cold";
+    case phase::kLeaving:
+      return "leaving";
+    case phase::kDown:
+      return "down";
+  }
+  return "";
 }
 
 }  // namespace papayaglade
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -1,23 +1,88 @@
 #ifndef PAPAYAGLADE_TESTS_STANDIN_UPSTREAM_STANDIN_H_
 #define PAPAYAGLADE_TESTS_STANDIN_UPSTREAM_STANDIN_H_
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
 #include <string>
+#include <unordered_map>
 
-#include "transport/http_server.h"
+#include "http_port.h"
+#include "upstream_log.h"
+#include "upstream_profile.h"
 
 namespace papayaglade {
 
-/// One upstream as docs/PROTOCOLS.md describes it.
+/// One upstream as docs/PROTOCOLS.md describes it. While cold it falls over
+/// when it is given more than it bears.
 class upstream_standin {
  public:
-  explicit upstream_standin(std::string name);
-  std::string Start(const endpoint& address);
+  upstream_standin(boost::asio::io_context& io, upstream_profile profile);
+
+  bool Open();
+  /// Faults: go_cold, leave, return, down, up, silence, lose, set.
+  void Command(const nlohmann::json& command);
+  nlohmann::json Summary() const;
+  nlohmann::json Records() const { return log_.Records(); }
 
  private:
-  http_response Handle(const http_request& request);
+  enum class phase { kWarm, kCold, kLeaving, kDown };
+  struct running_request {
+    std::uint64_t incarnation = 0;  ///< Of the upstream when it began.
+    nlohmann::json body;
+    bool is_run = false;
+    bool in_time = true;  ///< Ends by its service, not by its deadline.
+    http_port::responder respond;
+    std::unique_ptr<boost::asio::steady_timer> end;
+  };
+  struct phase_change {
+    monotonic_time since;
+    phase now;
+  };
+
+  void Handle(const http_request& request, const http_port::responder& respond);
+  void Receive(nlohmann::json body, bool is_run,
+               const http_port::responder& respond);
+  /// Why new work is refused; empty: it is admitted.
+  std::string Refusal(monotonic_time now);
+  void Begin(nlohmann::json body, bool is_run,
+             const http_port::responder& respond);
+  void End(const std::string& attempt);
+  void Serve(const running_request& ended);
+  http_response Cancel(const nlohmann::json& body);
+  http_response Health();
+  http_response Hits(const nlohmann::json& body, bool is_run) const;
+
+  void Restart(std::chrono::milliseconds down);
+  void GoCold();
+  void SetPhase(phase next);
+  void Proceed();
+  int InFlight() const;
+  std::chrono::microseconds ServiceTime();
+  std::uint64_t NewestSnapshot() const;
+  static const char* PhaseName(phase value);
 
-  std::string name_;
-  http_server server_;
+  boost::asio::io_context& io_;
+  upstream_profile profile_;
+  http_port port_;
+  boost::asio::steady_timer restart_;
+  std::mt19937_64 random_;
+  phase phase_ = phase::kWarm;
+  bool refuses_when_leaving_ = false;
+  std::deque<phase_change> history_;  ///< For a health page that lags.
+  std::uint64_t incarnation_ = 1;
+  std::uint64_t served_since_cold_ = 0;
+  monotonic_time cold_since_;
+  /// When callers could first have known that it is cold.
+  std::optional<monotonic_time> cold_shown_;
+  int answers_to_lose_ = 0;
+  std::unordered_map<std::string, running_request> running_;
+  upstream_log log_;
 };
 
 }  // namespace papayaglade
