--- /dev/null
+++ b/tests/scenarios/runner/callers.py
@@ -0,0 +1,164 @@
+"""Callers: single queries and open-loop loads, with every answer kept."""
+
+import http.client
+import itertools
+import json
+import queue
+import threading
+import time
+from dataclasses import dataclass, field
+
+WORKERS = 32
+ANSWER_TIMEOUT_S = 15
+
+
+@dataclass
+class Answer:
+    load: str
+    request_id: str
+    workload: str
+    query: str
+    instance: str = ""
+    key: str = ""
+    sent_s: float = 0
+    seconds: float = 0
+    status: int = 0  # 0: the connection broke before the answer
+    body: dict = field(default_factory=dict)
+    error: str = ""
+
+    @property
+    def outcome(self):
+        return self.body.get("outcome", "cut_off")
+
+    @property
+    def account(self):
+        return self.body.get("account", {})
+
+    @property
+    def coverage(self):
+        return self.account.get("coverage", 0)
+
+
+class Callers:
+    def __init__(self, system):
+        self.system = system
+        self.answers = []
+        self.loads = {}
+        self.numbers = itertools.count(1)
+        self.turns = itertools.count()
+
+    def ask(self, workload, options, load="query", connections=None,
+            intended=None):
+        number = next(self.numbers)
+        key = options.get("key", "")
+        if options.get("keyed"):
+            key = f"{load}-{number}"
+        request_id = options.get("id", f"{load}-{number}")
+        query = options.get("query", f"q-{key or request_id}")
+        answer = Answer(load, request_id, workload, query, key=str(key))
+        body = {"workload": workload, "query": query, "caller": load,
+                "request_id": request_id}
+        if key:
+            body["request_key"] = answer.key
+        for name in ("deadline_ms", "minimum_coverage"):
+            if name in options:
+                body[name] = options[name]
+        answer.sent_s = intended or time.monotonic()
+        self.send(answer, json.dumps(body), options.get("at"),
+                  {} if connections is None else connections)
+        answer.seconds = time.monotonic() - answer.sent_s
+        self.answers.append(answer)
+        return answer
+
+    def send(self, answer, body, at, connections):
+        """A refused connection means that nothing was sent: as a balancer
+        does, the caller then turns to the next instance."""
+        for instance in self.choices(at):
+            answer.instance = instance
+            kept = connections.pop(instance, None)
+            try:
+                connection = kept or self.connect(instance)
+                connection.request("POST", "/query", body)
+                response = connection.getresponse()
+                answer.status = response.status
+                answer.body = json.loads(response.read())
+                answer.error = ""
+                if not response.will_close:
+                    connections[instance] = connection
+                return
+            except ConnectionRefusedError as failed:
+                answer.error = str(failed)
+            except (OSError, http.client.HTTPException, ValueError) as failed:
+                answer.error = f"{type(failed).__name__}: {failed}"
+                return
+
+    def connect(self, instance):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.system.port(f"callers/{instance}"),
+            timeout=ANSWER_TIMEOUT_S)
+        connection.connect()
+        return connection
+
+    def choices(self, at):
+        if at:
+            return at if isinstance(at, list) else [at]
+        ready = sorted(self.system.ready)
+        if not ready:
+            return sorted(self.system.topology.instances)[:1]
+        turn = next(self.turns) % len(ready)
+        return ready[turn:] + ready[:turn]
+
+    def start_load(self, name, workload, options):
+        self.loads[name] = Load(self, name, workload, options)
+
+    def end_load(self, name):
+        load = self.loads.pop(name, None)
+        if load is not None:
+            load.end()
+
+    def end_all(self):
+        for name in list(self.loads):
+            self.end_load(name)
+
+    def of_load(self, name, since_s=0):
+        return [each for each in self.answers
+                if each.load == name and each.sent_s >= since_s]
+
+
+class Load:
+    """Sends at a fixed rate, whatever becomes of the answers."""
+
+    def __init__(self, callers, name, workload, options):
+        self.callers = callers
+        self.name = name
+        self.workload = workload
+        self.options = options
+        self.due = queue.SimpleQueue()
+        self.ending = threading.Event()
+        count = options.get("workers", WORKERS)
+        self.threads = [threading.Thread(target=self.work, daemon=True)
+                        for _ in range(count)]
+        self.threads.append(threading.Thread(target=self.schedule, daemon=True))
+        for thread in self.threads:
+            thread.start()
+
+    def schedule(self):
+        period = 1 / self.options.get("rate", 50)
+        next_due = time.monotonic()
+        while not self.ending.is_set():
+            self.due.put(next_due)
+            next_due += period
+            time.sleep(max(0, next_due - time.monotonic()))
+        for _ in self.threads:
+            self.due.put(None)
+
+    def work(self):
+        connections = {}
+        while (intended := self.due.get()) is not None:
+            self.callers.ask(self.workload, self.options, self.name,
+                             connections, intended)
+
+    def end(self):
+        self.ending.set()
+        for thread in self.threads:
+            thread.join()
--- /dev/null
+++ b/tests/scenarios/runner/steps.py
@@ -0,0 +1,271 @@
+"""The commands of the language, each a method named after its word."""
+
+import json
+import os
+import signal
+import subprocess
+import threading
+import time
+
+from .failure import Failure
+
+COMMAND_TIMEOUT_S = 60
+
+
+class Steps:
+    def __init__(self, topology, system, callers):
+        self.topology = topology
+        self.system = system
+        self.callers = callers
+        self.command_times = {}  # target -> when it was last disturbed
+        self.exits = {}  # command label -> exit code
+
+    def target(self, words):
+        """Takes a name, or `steward-of UPSTREAM`, off the front."""
+        word = words.pop(0)
+        if word == "steward-of":
+            return self.system.steward_of(words.pop(0))
+        return word
+
+    def targets(self, words):
+        words = list(words)
+        while words:
+            name = self.target(words)
+            self.command_times[name] = time.monotonic()
+            yield name
+
+    # Processes
+
+    def start(self, words, _):
+        if not self.system.processes:
+            self.system.start_standins()
+            for service in self.topology.snapshots:
+                self.put_snapshots(service)
+        for name in words or self.topology.instances:
+            self.system.start_instance(name)
+
+    def kill(self, words, _):
+        for name in self.targets(words):
+            self.system.signal(name, signal.SIGKILL)
+
+    def freeze(self, words, _):
+        for name in self.targets(words):
+            self.system.signal(name, signal.SIGSTOP)
+
+    def thaw(self, words, _):
+        for name in self.targets(words or list(self.system.frozen)):
+            self.system.signal(name, signal.SIGCONT)
+
+    def stop(self, words, _):
+        for name in self.targets(words):
+            self.system.signal(name, signal.SIGTERM)
+
+    # Operators
+
+    def publish(self, words, options):
+        """publish [as LABEL] [refused]: writes the service files."""
+        folder = os.path.join(self.system.folder,
+                              f"services-{len(os.listdir(self.system.folder))}")
+        os.makedirs(folder)
+        for service in self.topology.services:
+            value = self.topology.service_file(service, self.system.ports)
+            path = os.path.join(folder, f"{service}.papayaglade.json")
+            with open(path, "w", encoding="utf-8") as file:
+                json.dump(value, file, indent=1)
+        port = self.system.port("platform/operators")
+        self.run(words, "publish", "--platform-address", "127.0.0.1",
+                 "--platform-port", str(port), folder)
+
+    def run(self, words, *arguments):
+        """Runs the product's command; a LABEL keeps its exit code instead of
+        failing on it."""
+        command = [os.path.join(self.system.build, "papayaglade"), *arguments]
+        done = subprocess.run(command, capture_output=True, text=True,
+                              timeout=COMMAND_TIMEOUT_S, check=False)
+        log = os.path.join(self.system.folder, "commands.log")
+        with open(log, "a", encoding="utf-8") as file:
+            file.write(f"{arguments}: {done.returncode}\n"
+                       f"{done.stdout}{done.stderr}\n")
+        if "as" in words:
+            self.exits[words[words.index("as") + 1]] = done.returncode
+        elif done.returncode != 0:
+            raise Failure(f"{arguments[0]} to succeed",
+                          f"exit {done.returncode}: {done.stderr.strip()}")
+
+    def out(self, words, options):
+        self.order("out", words, options)
+
+    def into(self, words, options):
+        self.order("in", words, options)
+
+    def order(self, what, words, options):
+        at = options.get("at") or sorted(self.system.ready)[0]
+        self.command_times[words[0]] = time.monotonic()
+        self.run(words, "data-centre", what, words[0],
+                 "--operators-address", "127.0.0.1", "--operators-port",
+                 str(self.system.port(f"operators/{at}")))
+
+    def race(self, words, options):
+        """race COMMAND / COMMAND: both at once, labelled first and second."""
+        place = words.index("/")
+        failures = []
+
+        def side(label, command):
+            try:
+                self.do(command[0], [*command[1:], "as", label], options)
+            except Exception as failed:  # handed to the scenario's thread
+                failures.append(failed)
+
+        threads = [threading.Thread(target=side, args=each) for each in
+                   (("first", words[:place]), ("second", words[place + 1:]))]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        if failures:
+            raise failures[0]
+
+    # Callers
+
+    def query(self, words, options):
+        self.callers.ask(words[0], options,
+                         options.pop("as", "query"))
+
+    def load(self, words, options):
+        name, workload = words
+        self.callers.start_load(name, workload, options)
+
+    def end_load(self, words, _):
+        for name in words or list(self.callers.loads):
+            self.callers.end_load(name)
+
+    # Platform
+
+    def put_snapshots(self, service):
+        target = f"/objects/snapshots/{service}"
+        port = self.system.port("platform/operators")
+        summary = self.system.summary("platform")["platform"]
+        stored = summary.get("objects", {}).get("snapshots", {}).get(service)
+        version = stored["version"] if stored else 0
+        from . import http
+        http.call_json(port, "PUT", f"{target}?version={version}",
+                       self.topology.snapshot_object(service))
+
+    def snapshot(self, words, options):
+        service = self.topology.add_snapshot(words, options)
+        if self.system.processes:
+            self.put_snapshots(service)
+
+    def drop_snapshot(self, words, _):
+        """drop-snapshot N of SERVICE: the object no longer lists it. Answers
+        may still come from it, so the runner remembers its shards."""
+        service = words[2]
+        kept = dict(self.topology.snapshots[service])
+        del self.topology.snapshots[service][int(words[0])]
+        self.put_snapshots(service)
+        self.topology.snapshots[service] = kept
+
+    def outage(self, words, options):
+        """outage refuse|hang|slow [INSTANCE...] [delay_ms=N]"""
+        for caller in words[1:] or [""]:
+            self.platform(words[0], caller=caller, **options)
+
+    def platform(self, action, **options):
+        self.system.command("platform", "/platform", {"do": action, **options})
+
+    def mark_platform(self, _words, _options):
+        self.platform("mark")
+
+    def reset_platform(self, _words, _options):
+        self.platform("reset")
+
+    def lose_answer(self, words, _):
+        """lose-answer KIND|UPSTREAM [N]"""
+        count = int(words[1]) if len(words) > 1 else 1
+        if words[0] in self.topology.upstreams:
+            self.upstream(words[0], "lose", count=count)
+        else:
+            self.platform("lose", kind=words[0], count=count)
+
+    # Upstreams
+
+    def upstream(self, name, action, **options):
+        self.command_times[name] = time.monotonic()
+        self.system.command("upstreams", f"/upstream/{name}",
+                            {"do": action, **options})
+
+    def go_cold(self, words, options):
+        for name in words:
+            self.upstream(name, "go_cold", **options)
+
+    def leave(self, words, options):
+        for name in words:
+            self.upstream(name, "leave", **options)
+
+    def return_(self, words, _):
+        for name in words:
+            self.upstream(name, "return")
+
+    def down(self, words, _):
+        for name in words:
+            self.upstream(name, "down")
+
+    def up(self, words, _):
+        for name in words:
+            self.upstream(name, "up")
+
+    def set(self, words, options):
+        """set UPSTREAM... service_us=N snapshots=[1,2] ..."""
+        for name in words:
+            self.upstream(name, "set", **options)
+
+    # Paths between instances
+
+    def members(self, word):
+        if word in self.topology.instances:
+            return [word]
+        return [name for name, centre in self.topology.instances.items()
+                if centre == word]
+
+    def between(self, words, action, options):
+        """Both directions between two instances or data centres."""
+        for one in self.members(words[0]):
+            for other in self.members(words[1]):
+                for opener, owner in ((one, other), (other, one)):
+                    self.system.command("relays", f"/relay/{owner}", {
+                        "do": action, "from": opener, **options})
+        self.command_times[words[0]] = time.monotonic()
+
+    def cut(self, words, options):
+        """cut A B | cut INSTANCE|CENTRE platform"""
+        if words[1] == "platform":
+            for name in self.members(words[0]):
+                self.platform("hang", caller=name)
+        else:
+            self.between(words, "cut", options)
+
+    def delay(self, words, options):
+        self.between(words, "delay", options)
+
+    def silence(self, words, options):
+        """silence UPSTREAM [hold_ms=N] | silence A B [new_too=true]"""
+        if words[0] in self.topology.upstreams:
+            self.upstream(words[0], "silence", **options)
+        else:
+            self.between(words, "silence", options)
+
+    def heal(self, words, _):
+        """heal platform [INSTANCE|CENTRE] | heal A B"""
+        if words[0] == "platform":
+            names = self.members(words[1]) if len(words) > 1 else [""]
+            for name in names:
+                self.platform("heal", caller=name)
+        else:
+            self.between(words, "heal", {})
+
+    def do(self, word, words, options):
+        names = {"in": "into", "return": "return_"}
+        method = names.get(word, word.replace("-", "_"))
+        if method.startswith("_") or not hasattr(self, method):
+            raise ValueError(f"no such command: {word}")
+        getattr(self, method)(words, options)
--- /dev/null
+++ b/tests/scenarios/runner/system.py
@@ -0,0 +1,178 @@
+"""The processes of one scenario: stand-ins, instances and their signals."""
+
+import json
+import os
+import signal
+import subprocess
+import threading
+import time
+
+from . import http
+from .failure import Failure
+from .ports import PortBlock
+
+PEER_KEY = "scenario-key-0123456789"
+START_BOUND_S = 10
+BALANCER_PERIOD_S = 0.1
+
+
+def wait_until(condition, bound_s, period_s=0.05):
+    """Returns the first true value of `condition`, or its last one."""
+    end = time.monotonic() + bound_s
+    while True:
+        value = condition()
+        if value or time.monotonic() >= end:
+            return value
+        time.sleep(period_s)
+
+
+class System:
+    def __init__(self, topology, folder, build):
+        self.topology = topology
+        self.folder = folder
+        self.build = build
+        self.block = PortBlock()
+        self.ports = {}
+        self.processes = {}
+        self.frozen = set()
+        self.ready = set()
+        self.closing = threading.Event()
+        self.control = {}
+
+    def port(self, purpose):
+        if purpose not in self.ports:
+            self.ports[purpose] = self.block.take()
+        return self.ports[purpose]
+
+    def launch(self, name, *command):
+        log = open(os.path.join(self.folder, f"{name}.log"), "ab")
+        self.processes[name] = subprocess.Popen(
+            command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        log.close()
+
+    def start_standins(self):
+        topology = self.topology
+        callers = [*topology.instances, "operators"]
+        definitions = {"platform": {"platform": {
+            "lag_ms": topology.platform_lag_ms,
+            "ports": [{"caller": name, "port": self.port(f"platform/{name}")}
+                      for name in callers]}}}
+        definitions["upstreams"] = {"upstreams": [
+            {"name": name, "port": self.port(name), "seed": 1 + number,
+             **each["options"]}
+            for number, (name, each) in enumerate(topology.upstreams.items())]}
+        if topology.relays:
+            definitions["relays"] = {"relays": [
+                {"name": name, "port": self.port(f"peers/{name}"),
+                 "target": self.port(f"listen/{name}")}
+                for name in topology.instances]}
+        for name, definition in definitions.items():
+            self.control[name] = self.port(f"control/{name}")
+            definition["control"] = self.control[name]
+            path = self.write(f"{name}.json", definition)
+            self.launch(name, os.path.join(self.build, "standin"), path)
+        for name in definitions:
+            if not wait_until(lambda: self.summary(name), START_BOUND_S):
+                raise Failure(f"stand-in {name} to start", "no answer")
+        threading.Thread(target=self.balance, daemon=True).start()
+
+    def write(self, name, value):
+        path = os.path.join(self.folder, name)
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(value, file, indent=1)
+        return path
+
+    def start_instance(self, name):
+        if name in self.processes and self.processes[name].poll() is None:
+            return
+        local = {"address": "127.0.0.1"}
+        settings = {
+            "name": name, "data_centre": self.topology.instances[name],
+            "peer_key": PEER_KEY,
+            "callers": {**local, "port": self.port(f"callers/{name}")},
+            "operators": {**local, "port": self.port(f"operators/{name}")},
+            "peers": {**local, "port": self.port(f"peers/{name}")},
+            "platform": {**local, "port": self.port(f"platform/{name}")}}
+        if self.topology.relays:
+            settings["peers_listen"] = {**local,
+                                        "port": self.port(f"listen/{name}")}
+        if self.topology.settings:
+            settings["coordination"] = self.topology.settings
+        path = self.write(f"{name}.json", settings)
+        self.launch(name, os.path.join(self.build, "papayaglade"), "serve",
+                    "--settings", path)
+        self.tell_instances()
+
+    def tell_instances(self, leaving=()):
+        listed = [
+            {"name": name, "incarnation": 0,
+             "data_centre": self.topology.instances[name],
+             "address": "127.0.0.1", "port": self.port(f"peers/{name}"),
+             "state": "leaving" if name in leaving else "live"}
+            for name, process in self.processes.items()
+            if name in self.topology.instances and process.poll() is None]
+        self.command("platform", "/platform",
+                     {"do": "instances", "instances": listed})
+
+    def command(self, standin, target, command):
+        http.call_json(self.control[standin], "POST", target, command)
+
+    def summary(self, standin):
+        try:
+            return http.call_json(self.control[standin], "GET", "/summary")
+        except OSError:
+            return None
+
+    def upstream(self, name):
+        return self.summary("upstreams")["upstreams"][name]
+
+    def begun(self, name):
+        return http.call_json(self.control["upstreams"], "GET",
+                              f"/begun/{name}", timeout=10)
+
+    def steward_of(self, upstream):
+        centre = self.topology.upstreams[upstream]["centre"]
+        rosters = self.summary("platform")["platform"]["objects"]["roster"]
+        return rosters[centre]["value"]["assignments"][upstream]
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+        if number == signal.SIGSTOP:
+            self.frozen.add(name)
+        if number == signal.SIGCONT:
+            self.frozen.discard(name)
+        if number == signal.SIGKILL:
+            self.processes[name].wait()
+            self.ready.discard(name)
+            self.tell_instances()
+        if number == signal.SIGTERM:
+            self.tell_instances(leaving=[name])
+
+    def balance(self):
+        """Asks the instances, as a balancer does, which may be sent work."""
+        while not self.closing.wait(BALANCER_PERIOD_S):
+            for name in list(self.topology.instances):
+                if self.is_ready(name):
+                    self.ready.add(name)
+                else:
+                    self.ready.discard(name)
+
+    def is_ready(self, name):
+        process = self.processes.get(name)
+        alive = process is not None and process.poll() is None
+        if not alive or name in self.frozen:
+            return False
+        try:
+            port = self.port(f"callers/{name}")
+            return http.call(port, "GET", "/ready", timeout=0.5)[0] == 200
+        except OSError:
+            return False
+
+    def close(self):
+        self.closing.set()
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.block.release()
--- a/tests/standin/standin_process.cc
+++ b/tests/standin/standin_process.cc
@@ -52,7 +52,7 @@
   return "";
 }
 
-// GET /summary, GET /records/UPSTREAM, POST /platform, POST /upstream/NAME,
+// GET /summary, /records/UPSTREAM, /begun/UPSTREAM; POST /platform, POST /upstream/NAME,
 // POST /relay/NAME.
 http_response standin_process::Handle(const http_request& request) {
   if (request.target == "/summary") {
@@ -64,6 +64,11 @@
       const json records = upstreams_.at(logged)->Records();
       return {kStatusOk, "application/json", records.dump()};
     }
+    const std::string begun = PartAfter(request.target, "/begun/");
+    if (!begun.empty()) {
+      const json work = upstreams_.at(begun)->Begun();
+      return {kStatusOk, "application/json", work.dump()};
+    }
     Command(request.target, json::parse(request.body));
   } catch (const std::exception& failed) {
     return {kStatusBadRequest, "text/plain", failed.what()};
--- a/tests/standin/upstream_log.cc
+++ b/tests/standin/upstream_log.cc
@@ -1,7 +1,6 @@
 #include "upstream_log.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace papayaglade {
 
@@ -25,7 +24,7 @@
 
 void upstream_log::Begin(const std::string& work, int in_flight, bool cold) {
   Count("begun");
-  if (!begun_.insert(std::hash<std::string>{}(work)).second) Count("repeated");
+  if (!begun_.insert(work).second) Count("repeated");
   most_in_flight_ = std::max(most_in_flight_, in_flight);
   if (cold) most_cold_in_flight_ = std::max(most_cold_in_flight_, in_flight);
 }
--- a/tests/standin/upstream_log.h
+++ b/tests/standin/upstream_log.h
@@ -28,11 +28,13 @@
 
   nlohmann::json Summary() const;
   nlohmann::json Records() const { return records_; }
+  /// All work ever begun, each named once.
+  nlohmann::json Begun() const { return begun_; }
 
  private:
   std::map<std::string, std::uint64_t> counts_;
   std::map<std::string, std::uint64_t> runs_;
-  std::unordered_set<std::size_t> begun_;  ///< Hashes of work.
+  std::unordered_set<std::string> begun_;
   monotonic_time last_arrival_;
   int most_in_flight_ = 0;
   int most_cold_in_flight_ = 0;
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -29,6 +29,7 @@
   void Command(const nlohmann::json& command);
   nlohmann::json Summary() const;
   nlohmann::json Records() const { return log_.Records(); }
+  nlohmann::json Begun() const { return log_.Begun(); }
 
  private:
   enum class phase { kWarm, kCold, kLeaving, kDown };
