Add publish, check, status, explain, data-centre and the operators' port

Ruled out: waiting for the fleet by a status object of each instance in the platform (520 writes a change); the rosters already name every instance, so they now carry the operators' address and publish asks the instances.

--- a/src/app/command.h
+++ b/src/app/command.h
@@ -28,7 +28,14 @@
   command_function run;
 };
 
+/// The version every command reports.
+constexpr char kVersionText[] = "0.1";
+
+exit_code RunCheck(std::vector<std::string>& arguments);
+exit_code RunDataCentre(std::vector<std::string>& arguments);
+exit_code RunExplain(std::vector<std::string>& arguments);
 exit_code RunServe(std::vector<std::string>& arguments);
+exit_code RunStatus(std::vector<std::string>& arguments);
 exit_code RunPublish(std::vector<std::string>& arguments);
 exit_code RunVersion(std::vector<std::string>& arguments);
 
--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -123,7 +123,7 @@
                                      return each.identity.name == self_.name;
                                    }),
                     own.members.end());
-  own.members.push_back({self_, settings_.peers});
+  own.members.push_back({self_, settings_.peers, settings_.operators});
   own.assignments.clear();
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
     own.assignments.push_back(
@@ -145,6 +145,10 @@
 void control_duty::Handle(drain_event& event) { event.done(); }
 
 void control_duty::Publish() {
+  if (view_.config != nullptr) {
+    metrics_.Set(gauge_metric::kConfiguration, "version",
+                 static_cast<double>(view_.config->version));
+  }
   view_.ready = view_.config != nullptr && !view_.rosters.empty();
   readiness_.SetReady(view_.ready, "no configuration or roster yet");
   const auto view = std::make_shared<const cluster_view>(view_);
--- /dev/null
+++ b/src/app/data_centre_order_writer.cc
@@ -0,0 +1,71 @@
+#include "app/data_centre_order_writer.h"
+
+#include "protocol/configuration_codec.h"
+
+namespace papayaglade {
+
+namespace {
+
+constexpr char kKind[] = "order";
+constexpr int kMostTries = 10;
+constexpr std::chrono::milliseconds kPause{200};
+
+// The order in force with the version its object has.
+struct stored_order {
+  std::uint64_t version = 0;
+  data_centre_order order;
+};
+
+stored_order StoredOrder(const platform_reply& reply,
+                         const std::string& data_centre) {
+  stored_order stored;
+  stored.order.data_centre = data_centre;
+  if (reply.objects.empty()) return stored;
+  stored.version = reply.objects.front().version;
+  const auto parsed = ParseOrder(data_centre, reply.objects.front().value);
+  if (parsed.has_value()) stored.order = *parsed;
+  return stored;
+}
+
+bool IsAnswer(const platform_reply& reply) {
+  return reply.status == platform_status::kOk ||
+         reply.status == platform_status::kNotFound;
+}
+
+}  // namespace
+
+data_centre_order_writer::data_centre_order_writer(blocking_platform& platform)
+    : platform_(platform) {}
+
+std::variant<data_centre_order, error> data_centre_order_writer::Give(
+    const std::string& data_centre, bool out) {
+  // Each try reads first, so a write whose answer was lost is found in force
+  // and not given a second generation.
+  for (int i = 0; i < kMostTries; ++i) {
+    const platform_reply current =
+        platform_.Call(platform_get{kKind, data_centre});
+    if (!IsAnswer(current)) {
+      platform_.Pause(kPause);
+      continue;
+    }
+    const stored_order stored = StoredOrder(current, data_centre);
+    if (stored.version > 0 && stored.order.out == out) return stored.order;
+    const data_centre_order wanted{data_centre, stored.order.generation + 1,
+                                   out};
+    const platform_reply written = platform_.Call(
+        platform_put{kKind, data_centre, stored.version, FormatOrder(wanted)});
+    if (written.status == platform_status::kOk) return wanted;
+    if (written.status == platform_status::kConflict) {
+      return error{error_kind::kConflict, "",
+                   "another operator ordered data centre " + data_centre +
+                       " at the same time",
+                   "look at `papayaglade status` and order again if needed"};
+    }
+    platform_.Pause(kPause);
+  }
+  return error{error_kind::kUnavailable, "",
+               "the platform does not answer; the order may be in force",
+               "give the order through an instance with --operators-port"};
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/app/data_centre_order_writer.h
@@ -0,0 +1,29 @@
+#ifndef PAPAYAGLADE_APP_DATA_CENTRE_ORDER_WRITER_H_
+#define PAPAYAGLADE_APP_DATA_CENTRE_ORDER_WRITER_H_
+
+#include <string>
+#include <variant>
+
+#include "coordination/blocking_platform.h"
+#include "state/cluster_view.h"
+#include "state/error.h"
+
+namespace papayaglade {
+
+/// Gives data-centre orders through the platform.
+class data_centre_order_writer {
+ public:
+  explicit data_centre_order_writer(blocking_platform& platform);
+
+  /// Writes the next generation; the order that holds is returned, which is
+  /// the one asked for unless an error is.
+  std::variant<data_centre_order, error> Give(const std::string& data_centre,
+                                              bool out);
+
+ private:
+  blocking_platform& platform_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_APP_DATA_CENTRE_ORDER_WRITER_H_
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -12,7 +12,11 @@
 
 constexpr command kCommands[] = {
     {"serve", "run one instance", RunServe},
+    {"check", "check service and settings files", RunCheck},
     {"publish", "put a configuration into force", RunPublish},
+    {"status", "show an instance", RunStatus},
+    {"data-centre", "take a data centre out, or back in", RunDataCentre},
+    {"explain", "tell how the shards of a recent request fared", RunExplain},
     {"version", "print the version", RunVersion},
 };
 
--- a/src/app/metrics_registry.cc
+++ b/src/app/metrics_registry.cc
@@ -159,6 +159,13 @@
   gauges_[{metric, label}] = value;
 }
 
+double metrics_registry::Gauge(gauge_metric metric,
+                               const std::string& label) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = gauges_.find({metric, label});
+  return found == gauges_.end() ? 0 : found->second;
+}
+
 std::string metrics_registry::Format() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::ostringstream out;
--- a/src/app/metrics_registry.h
+++ b/src/app/metrics_registry.h
@@ -20,6 +20,9 @@
   void Set(gauge_metric metric, const std::string& label,
            double value) override;
 
+  /// The last value set; 0 before that.
+  double Gauge(gauge_metric metric, const std::string& label) const;
+
   /// The Prometheus text format.
   std::string Format() const;
 
--- a/src/app/publish_command.cc
+++ b/src/app/publish_command.cc
@@ -1,92 +1,114 @@
 #include <tclap/CmdLine.h>
 
-#include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <random>
-#include <sstream>
+#include <nlohmann/json.hpp>
 
+#include "app/address_arguments.h"
 #include "app/command.h"
-#include "protocol/configuration_codec.h"
-#include "protocol/platform_codec.h"
-#include "transport/http_call.h"
+#include "app/fleet_watch.h"
+#include "app/platform_session.h"
+#include "app/publication.h"
+#include "app/service_files.h"
 
 namespace papayaglade {
 
 namespace {
 
-constexpr char kSuffix[] = ".papayaglade.json";
-constexpr std::chrono::milliseconds kCallTimeout{2000};
+constexpr int kDefaultWaitMs = 7000;
 
-bool EndsWith(const std::string& text, const std::string& suffix) {
-  return text.size() >= suffix.size() &&
-         text.compare(text.size() - suffix.size(), suffix.size(), suffix) == 0;
+exit_code ExitCodeOf(error_kind kind) {
+  switch (kind) {
+    case error_kind::kConflict:
+      return exit_code::kConflict;
+    case error_kind::kOutcomeUnknown:
+      return exit_code::kUnknown;
+    case error_kind::kUnavailable:
+      return exit_code::kUnavailable;
+    default:
+      return exit_code::kBadInput;
+  }
 }
 
-configuration Collect(const std::vector<std::string>& folders,
-                      fault_list& faults) {
-  configuration config;
-  for (const std::string& folder : folders) {
-    for (const auto& file :
-         std::filesystem::recursive_directory_iterator(folder)) {
-      const std::string path = file.path().string();
-      if (!EndsWith(path, kSuffix)) continue;
-      std::ifstream stream(path);
-      std::stringstream text;
-      text << stream.rdbuf();
-      config.services.push_back(ParseServiceFile(path, text.str(), faults));
-    }
+exit_code PrintRefusal(const error& cause, bool json) {
+  if (json) {
+    std::cout << nlohmann::json({{"outcome", ErrorKindName(cause.kind)},
+                                 {"message", cause.message},
+                                 {"remedy", cause.remedy}})
+                     .dump()
+              << "\n";
+  } else {
+    std::cerr << cause.message << "; " << cause.remedy << "\n";
   }
-  return config;
+  return ExitCodeOf(cause.kind);
 }
 
-platform_reply Call(const endpoint& platform,
-                    const platform_operation& operation) {
-  const http_connection::outcome outcome =
-      CallHttp(platform, FormatPlatformCall(operation), kCallTimeout);
-  if (!outcome.failure.has_value()) {
-    return ParsePlatformReply(operation, outcome.status, outcome.body);
+void PrintFleet(const std::vector<instance_version>& instances,
+                std::uint64_t version, bool json) {
+  if (json) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (const instance_version& each : instances) {
+      rows.push_back({{"instance", each.name},
+                      {"data_centre", each.data_centre},
+                      {"answered", each.answered},
+                      {"version", each.version}});
+    }
+    std::cout << nlohmann::json({{"outcome", "accepted"},
+                                 {"version", version},
+                                 {"instances", rows}})
+                     .dump()
+              << "\n";
+    return;
   }
-  platform_reply reply;
-  if (*outcome.failure == http_failure::kRefused) {
-    reply.status = platform_status::kUnreachable;
+  std::cout << "version " << version << " accepted\n";
+  for (const instance_version& each : instances) {
+    std::cout << "  " << each.name << " " << each.data_centre << " ";
+    if (!each.answered) {
+      std::cout << "does not answer\n";
+    } else {
+      std::cout << "on version " << each.version << "\n";
+    }
   }
-  return reply;
 }
 
 }  // namespace
 
 exit_code RunPublish(std::vector<std::string>& arguments) {
-  TCLAP::CmdLine line("Puts one configuration into force.", ' ', "0.1");
-  const TCLAP::ValueArg<std::string> address("", "platform-address",
-                                             "IP address of the platform", true,
-                                             "", "IP", line);
-  const TCLAP::ValueArg<int> port("", "platform-port", "port of the platform",
-                                  true, 0, "PORT", line);
-  const TCLAP::UnlabeledMultiArg<std::string> folders(
-      "folders", "service folders", true, "FOLDER", line);
+  TCLAP::CmdLine line(
+      "Collects service files, checks them all, and puts one configuration "
+      "into force.",
+      ' ', kVersionText);
+  const address_arguments platform(line, "platform", "the platform", true);
+  TCLAP::ValueArg<int> wait("", "wait-ms",
+                            "how long to wait for the instances; 0 not at all",
+                            false, kDefaultWaitMs, "MS", line);
+  TCLAP::MultiArg<std::string> removals(
+      "", "remove", "service in force that shall go", false, "SERVICE", line);
+  TCLAP::SwitchArg json("", "json", "print the outcome as JSON", line);
+  TCLAP::UnlabeledMultiArg<std::string> folders(
+      "folders", "folders with service files", true, "FOLDER", line);
   line.parse(arguments);
   fault_list faults;
-  configuration config = Collect(folders.getValue(), faults);
-  for (const fault& each : faults) {
-    std::cerr << each.file << ": " << each.pointer << ": " << each.message
-              << "; " << each.remedy << "\n";
+  configuration wanted = CollectServices(folders.getValue(), faults);
+  if (!faults.empty()) {
+    PrintFaults(faults, json.getValue());
+    return exit_code::kBadInput;
+  }
+  platform_session session(platform.Value());
+  const publication_outcome outcome =
+      publication(session).Run(std::move(wanted), removals.getValue());
+  if (const auto* refused = std::get_if<publication_refused>(&outcome)) {
+    return PrintRefusal(refused->cause, json.getValue());
+  }
+  const std::uint64_t version = std::get<publication_accepted>(outcome).version;
+  fleet_watch fleet(session);
+  bool everywhere = true;
+  if (wait.getValue() > 0) {
+    everywhere =
+        fleet.ReadRosters() &&
+        fleet.Await(version, std::chrono::milliseconds(wait.getValue()));
   }
-  if (!faults.empty()) return exit_code::kBadInput;
-  const endpoint platform{address.getValue(),
-                          static_cast<std::uint16_t>(port.getValue())};
-  const platform_reply current =
-      Call(platform, platform_get{"configuration", "current"});
-  const std::uint64_t base =
-      current.objects.empty() ? 0 : current.objects.front().version;
-  config.version = base + 1;
-  config.publication_id = std::to_string(std::random_device{}());
-  const platform_reply reply =
-      Call(platform, platform_put{"configuration", "current", base,
-                                  FormatConfiguration(config)});
-  if (reply.status != platform_status::kOk) return exit_code::kFailed;
-  std::cout << "version " << config.version << " accepted\n";
-  return exit_code::kDone;
+  PrintFleet(fleet.Instances(), version, json.getValue());
+  return everywhere ? exit_code::kDone : exit_code::kNotEverywhere;
 }
 
 }  // namespace papayaglade
--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -3,12 +3,11 @@
 #include <tclap/CmdLine.h>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "app/command.h"
 #include "app/server.h"
+#include "app/service_files.h"
 #include "protocol/settings_codec.h"
 
 namespace papayaglade {
@@ -36,25 +35,22 @@
 
 exit_code RunServe(std::vector<std::string>& arguments) {
   TCLAP::CmdLine line("Runs one instance until it receives SIGTERM.", ' ',
-                      "0.1");
+                      kVersionText);
   const TCLAP::ValueArg<std::string> file(
       "s", "settings", "settings file of the instance", true, "", "FILE", line);
   line.parse(arguments);
-  std::ifstream stream(file.getValue());
-  if (!stream) {
+  const auto text = ReadFile(file.getValue());
+  if (!text.has_value()) {
     std::cerr << file.getValue() << ": cannot be read; name a readable file\n";
     return exit_code::kBadInput;
   }
-  std::stringstream text;
-  text << stream.rdbuf();
   fault_list faults;
   const instance_settings settings =
-      ParseSettings(file.getValue(), text.str(), faults);
-  for (const fault& each : faults) {
-    std::cerr << each.file << ": " << each.pointer << ": " << each.message
-              << "; " << each.remedy << "\n";
+      ParseSettings(file.getValue(), *text, faults);
+  if (!faults.empty()) {
+    PrintFaults(faults, false);
+    return exit_code::kBadInput;
   }
-  if (!faults.empty()) return exit_code::kBadInput;
   const sigset_t signals = BlockShutdownSignals();
   server instance(settings);
   const std::string failed = instance.Start();
--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -8,6 +8,7 @@
 
 #include "app/control_duty.h"
 #include "app/metrics_registry.h"
+#include "app/operators_port.h"
 #include "app/readiness.h"
 #include "app/router_duty.h"
 #include "app/steward_duty.h"
@@ -55,6 +56,8 @@
                   metrics_, steward_ring_),
         control_(settings_, self_, timer_, peers_, platform_, router_ring_,
                  steward_ring_, readiness_, metrics_, control_ring_),
+        operators_(settings_, self_, router_ring_, steward_ring_, control_ring_,
+                   peers_, readiness_, metrics_),
         callers_("callers", settings_.limits,
                  [this](const http_request& request,
                         const http_server::responder& respond) {
@@ -66,6 +69,8 @@
     if (!failed.empty()) return BindFailure("callers", failed);
     failed = peers_.Listen(settings_.peers);
     if (!failed.empty()) return BindFailure("peers", failed);
+    failed = operators_.Start();
+    if (!failed.empty()) return BindFailure("operators", failed);
     timer_.Start();
     upstreams_.Start();
     platform_.Start();
@@ -84,6 +89,7 @@
     callers_.Drain(kQuietBeforeClose, [&drained] { drained.set_value(); });
     drained.get_future().wait_for(settings_.coordination.shutdown_bound);
     callers_.Stop();
+    operators_.Stop();
     control_.Stop();
     router_.Stop();
     stewards_.Stop();
@@ -153,6 +159,7 @@
   router_duty router_;
   steward_duty stewards_;
   control_duty control_;
+  operators_port operators_;
   std::uint64_t last_request_ = 0;  // Only touched on the callers thread.
   http_server callers_;
 };
--- /dev/null
+++ b/src/app/status_command.cc
@@ -0,0 +1,29 @@
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+#include "app/address_arguments.h"
+#include "app/command.h"
+#include "app/operator_call.h"
+#include "app/status_report.h"
+
+namespace papayaglade {
+
+exit_code RunStatus(std::vector<std::string>& arguments) {
+  TCLAP::CmdLine line(
+      "Shows an instance: its data centre, who is steward of what, and what "
+      "is cold, out, leaving or stale.",
+      ' ', kVersionText);
+  const address_arguments operators(
+      line, "operators", "the operators' port of the instance asked", true);
+  TCLAP::SwitchArg json("", "json", "print everything as JSON", line);
+  line.parse(arguments);
+  exit_code code = exit_code::kDone;
+  const auto body =
+      CallOperators(operators.Value(), {"GET", "/status", "", ""}, code);
+  if (!body.has_value()) return code;
+  std::cout << (json.getValue() ? body->dump() + "\n" : ReportStatus(*body));
+  return exit_code::kDone;
+}
+
+}  // namespace papayaglade
--- a/src/app/version_command.cc
+++ b/src/app/version_command.cc
@@ -5,7 +5,7 @@
 namespace papayaglade {
 
 exit_code RunVersion(std::vector<std::string>& /*arguments*/) {
-  std::cout << "papayaglade 0.1\n";
+  std::cout << "papayaglade " << kVersionText << "\n";
   return exit_code::kDone;
 }
 
--- a/src/protocol/configuration_codec.cc
+++ b/src/protocol/configuration_codec.cc
@@ -240,7 +240,9 @@
     members.push_back({{"name", each.identity.name},
                        {"incarnation", each.identity.incarnation},
                        {"address", each.peers.address},
-                       {"port", each.peers.port}});
+                       {"port", each.peers.port},
+                       {"operators_address", each.operators.address},
+                       {"operators_port", each.operators.port}});
   }
   json assignments = json::object();
   for (const steward_assignment& each : value.assignments) {
@@ -259,10 +261,13 @@
     result.data_centre = data_centre;
     in.at("epoch").get_to(result.epoch);
     for (const json& each : in.at("members")) {
-      result.members.push_back({{each.at("name").get<std::string>(),
-                                 each.at("incarnation").get<std::uint64_t>()},
-                                {each.at("address").get<std::string>(),
-                                 each.at("port").get<std::uint16_t>()}});
+      result.members.push_back(
+          {{each.at("name").get<std::string>(),
+            each.at("incarnation").get<std::uint64_t>()},
+           {each.at("address").get<std::string>(),
+            each.at("port").get<std::uint16_t>()},
+           {each.value("operators_address", ""),
+            each.value("operators_port", std::uint16_t{0})}});
     }
     for (const auto& each : in.at("assignments").items()) {
       result.assignments.push_back(
--- a/src/protocol/http_message.cc
+++ b/src/protocol/http_message.cc
@@ -20,4 +20,24 @@
   return escaped;
 }
 
+std::string UnescapeTarget(const std::string& text) {
+  constexpr std::size_t kEscapeLength = 3;
+  constexpr int kHexBase = 16;
+  std::string plain;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool escape =
+        text[i] == '%' && i + 2 < text.size() &&
+        std::isxdigit(static_cast<unsigned char>(text[i + 1])) != 0 &&
+        std::isxdigit(static_cast<unsigned char>(text[i + 2])) != 0;
+    if (!escape) {
+      plain += text[i];
+      continue;
+    }
+    plain +=
+        static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, kHexBase));
+    i += kEscapeLength - 1;
+  }
+  return plain;
+}
+
 }  // namespace papayaglade
--- a/src/protocol/http_message.h
+++ b/src/protocol/http_message.h
@@ -23,6 +23,9 @@
 /// Escapes `text` for use inside one segment of a request target.
 std::string EscapeTarget(const std::string& text);
 
+/// Undoes EscapeTarget; a malformed escape is kept as it is.
+std::string UnescapeTarget(const std::string& text);
+
 }  // namespace papayaglade
 
 #endif  // PAPAYAGLADE_PROTOCOL_HTTP_MESSAGE_H_
--- a/src/state/cluster_view.h
+++ b/src/state/cluster_view.h
@@ -16,7 +16,8 @@
 /// One instance of the query tier as its data centre's roster names it.
 struct roster_member {
   instance_identity identity;
-  endpoint peers;  ///< Where the instance accepts peer links.
+  endpoint peers;      ///< Where the instance accepts peer links.
+  endpoint operators;  ///< Where operators reach the instance.
 };
 
 /// Which instance is steward of one upstream.
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -232,13 +232,15 @@
     http::async_write(
         stream_, response_,
         [self = this->shared_from_this()](error_code failed, std::size_t) {
-          if (failed) return;
-          if (!self->keep_alive_) return self->Close();
+          if (failed || !self->keep_alive_) return self->Close();
           self->Read();
         });
   }
 
+  // A responder that is kept after its answer must not hold up a drain, so
+  // the session leaves the set here and not only when it is destroyed.
   void Close() {
+    server_.sessions_.erase(this);
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
   }
--- /dev/null
+++ b/tests/unit/http_server_test.cc
@@ -0,0 +1,144 @@
+#include "transport/http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <string>
+
+#include "transport/http_call.h"
+
+namespace papayaglade {
+
+namespace {
+
+// A plain socket, because the hostile callers here break HTTP on purpose.
+class raw_caller {
+ public:
+  explicit raw_caller(std::uint16_t port)
+      : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int failed = ::connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                                 sizeof address);
+    REQUIRE(failed == 0);
+  }
+  ~raw_caller() { ::close(socket_); }
+  raw_caller(const raw_caller&) = delete;
+  raw_caller& operator=(const raw_caller&) = delete;
+
+  void Send(const std::string& bytes) const {
+    ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+  // Everything up to the end of the connection.
+  std::string ReadAll() const {
+    std::string all;
+    char buffer[4096];
+    ssize_t n = 0;
+    while ((n = ::recv(socket_, buffer, sizeof buffer, 0)) > 0) {
+      all.append(buffer, static_cast<std::size_t>(n));
+    }
+    return all;
+  }
+
+ private:
+  int socket_;
+};
+
+constexpr char kRequest[] =
+    "POST /query HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+
+class test_server {
+ public:
+  explicit test_server(const port_limits& limits,
+                       const http_server::handler& handler)
+      : server_("test", limits, handler) {
+    // Ports are tried from a fixed start until one is free.
+    while (!server_.Listen({"127.0.0.1", port_}).empty()) ++port_;
+    server_.Start();
+  }
+  std::uint16_t Port() const { return port_; }
+  http_server& Server() { return server_; }
+
+ private:
+  std::uint16_t port_ = 28100;
+  http_server server_;
+};
+
+void Echo(const http_request& request, const http_server::responder& respond) {
+  respond({200, "text/plain", request.body});
+}
+
+bool Serves(std::uint16_t port) {
+  const auto outcome = CallHttp({"127.0.0.1", port}, {"POST", "/", "", "{}"},
+                                std::chrono::seconds(5));
+  return outcome.status == 200;
+}
+
+}  // namespace
+
+TEST_CASE("hostile callers get a typed refusal and harm nobody") {
+  port_limits limits;
+  limits.body_bytes = 100;
+  limits.header_bytes = 500;
+  limits.header_timeout = std::chrono::milliseconds(200);
+  test_server server(limits, Echo);
+  const raw_caller large(server.Port());
+  large.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n");
+  CHECK(large.ReadAll().find("too_large") != std::string::npos);
+  const raw_caller headers(server.Port());
+  headers.Send("POST / HTTP/1.1\r\nX: " + std::string(600, 'x') + "\r\n");
+  CHECK(headers.ReadAll().find("too_large") != std::string::npos);
+  const raw_caller garbage(server.Port());
+  garbage.Send("\x01\x02 not HTTP at all\r\n\r\n");
+  CHECK(garbage.ReadAll().find("malformed HTTP") != std::string::npos);
+  const raw_caller half(server.Port());
+  half.Send("POST / HTTP/1.1\r\nHos");
+  CHECK(half.ReadAll().empty());
+  CHECK(Serves(server.Port()));
+}
+
+TEST_CASE("connections over the bound are closed, those within it served") {
+  port_limits limits;
+  limits.connections = 2;
+  test_server server(limits, Echo);
+  const raw_caller first(server.Port());
+  const raw_caller second(server.Port());
+  const raw_caller third(server.Port());
+  CHECK(third.ReadAll().empty());
+  first.Send(
+      "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+      "Content-Length: 2\r\n\r\n{}");
+  CHECK(first.ReadAll().find("200 OK") != std::string::npos);
+}
+
+TEST_CASE("a drain finishes kept-alive, running and backlogged requests") {
+  std::promise<http_server::responder> held;
+  test_server server(
+      port_limits(),
+      [&held](const http_request&, const http_server::responder& respond) {
+        held.set_value(respond);
+      });
+  const raw_caller running(server.Port());
+  running.Send(kRequest);
+  const http_server::responder respond = held.get_future().get();
+  const raw_caller idle(server.Port());
+  std::promise<void> drained;
+  server.Server().Drain(std::chrono::milliseconds(50),
+                        [&drained] { drained.set_value(); });
+  auto done = drained.get_future();
+  CHECK(idle.ReadAll().empty());
+  CHECK(done.wait_for(std::chrono::seconds(0)) == std::future_status::timeout);
+  respond({200, "text/plain", "whole answer"});
+  CHECK(running.ReadAll().find("whole answer") != std::string::npos);
+  done.get();
+  CHECK_FALSE(Serves(server.Port()));
+}
+
+}  // namespace papayaglade
