--- a/src/app/readiness.h
+++ b/src/app/readiness.h
@@ -13,12 +13,16 @@
  public:
   void SetReady(bool ready, const std::string& reason) override;
 
+  /// From now on the instance is not ready, whatever SetReady says.
+  void BeginShutdown();
+
   /// Empty when the instance is ready; else why it is not.
   std::string ReasonNotReady() const;
 
  private:
   mutable std::mutex mutex_;
   std::string reason_ = "starting";
+  bool shutting_down_ = false;
 };
 
 }  // namespace papayaglade
--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -4,6 +4,7 @@
 
 #include <future>
 #include <random>
+#include <thread>
 #include <utility>
 
 #include "app/control_duty.h"
@@ -30,6 +31,7 @@
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 constexpr std::chrono::milliseconds kQuietBeforeClose{500};
+constexpr std::chrono::milliseconds kRingPause{1};
 
 instance_identity NewLife(const std::string& name) {
   std::random_device entropy;
@@ -84,10 +86,49 @@
     return "";
   }
 
+  // New work stays away first (the balancer notices, stewardships are handed
+  // over), then accepted work ends, from the callers inwards.
   void Shutdown() {
-    std::promise<void> drained;
-    callers_.Drain(kQuietBeforeClose, [&drained] { drained.set_value(); });
-    drained.get_future().wait_for(settings_.coordination.shutdown_bound);
+    const monotonic_time end =
+        timer_.Now() + settings_.coordination.shutdown_bound;
+    readiness_.BeginShutdown();
+    std::future<void> handed_over = Drain(control_ring_);
+    std::this_thread::sleep_for(settings_.coordination.balancer_notice);
+    Await(handed_over, end, "control");
+    std::future<void> callers_done = DrainCallers();
+    Await(callers_done, end, "callers");
+    std::future<void> queries_done = Drain(router_ring_);
+    Await(queries_done, end, "router");
+    std::future<void> upstreams_done = Drain(steward_ring_);
+    Await(upstreams_done, end, "stewards");
+    Stop();
+  }
+
+ private:
+  template <typename Ring>
+  static std::future<void> Drain(Ring& ring) {
+    const auto done = std::make_shared<std::promise<void>>();
+    std::future<void> finished = done->get_future();
+    const drain_event event{[done] { done->set_value(); }};
+    // A full ring empties soon: its duty is still running.
+    while (!ring.TryPush(event)) std::this_thread::sleep_for(kRingPause);
+    return finished;
+  }
+
+  std::future<void> DrainCallers() {
+    const auto done = std::make_shared<std::promise<void>>();
+    std::future<void> finished = done->get_future();
+    callers_.Drain(kQuietBeforeClose, [done] { done->set_value(); });
+    return finished;
+  }
+
+  static void Await(const std::future<void>& finished, monotonic_time end,
+                    const char* duty) {
+    if (finished.wait_until(end) == std::future_status::ready) return;
+    LOG(ERROR) << "event=shutdown_bound_passed duty=" << duty;
+  }
+
+  void Stop() {
     callers_.Stop();
     operators_.Stop();
     control_.Stop();
@@ -99,7 +140,6 @@
     timer_.Stop();
   }
 
- private:
   static std::string BindFailure(const std::string& port,
                                  const std::string& why) {
     return "cannot listen for " + port + ": " + why +
--- a/src/protocol/settings_codec.cc
+++ b/src/protocol/settings_codec.cc
@@ -51,6 +51,8 @@
       ReadTime(reader, "longest_request_ms", result.longest_request);
   result.shutdown_bound =
       ReadTime(reader, "shutdown_bound_ms", result.shutdown_bound);
+  result.balancer_notice =
+      ReadTime(reader, "balancer_notice_ms", result.balancer_notice);
   if (result.probe_timeout >= result.probe_period) {
     reader.AddFault("probe_timeout_ms", "not shorter than probe_period_ms",
                     "lower it or raise probe_period_ms");
--- a/src/state/instance_settings.h
+++ b/src/state/instance_settings.h
@@ -18,6 +18,8 @@
   std::chrono::milliseconds lease{2000};
   std::chrono::milliseconds longest_request{2000};
   std::chrono::milliseconds shutdown_bound{30000};
+  /// How long the balancer may take to see that an instance is not ready.
+  std::chrono::milliseconds balancer_notice{1000};
 };
 
 /// Bounds on what callers, operators and peers may send.
