Split the control duty into parts behind one context

Cause: rosters, membership and the spread of objects stood in one class, so nobody could replace one of them without touching the others. Change: control_part sees every event and control_context offers Send, CallPlatform, Offer, Members, View and PublishView. Shared objects pass through one gate that only lets versions rise. The view is published only after a change, and readiness follows from it. Placeholder roster keeping stands in roster_part.

--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -1,15 +1,26 @@
 #include "app/control_duty.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
-#include "protocol/configuration_codec.h"
+#include "app/roster_part.h"
+#include "app/spread_part.h"
+#include "app/view_builder.h"
 
 namespace papayaglade {
 
 namespace {
 
-constexpr std::chrono::milliseconds kTickPeriod{200};
+constexpr std::chrono::milliseconds kTickPeriod{50};
+
+// Calls `done` once each of `parts` has called back.
+std::function<void()> AfterAll(std::size_t parts, std::function<void()> done) {
+  const auto left = std::make_shared<std::size_t>(parts);
+  return [left, done = std::move(done)] {
+    if (--*left == 0) done();
+  };
+}
 
 }  // namespace
 
@@ -28,7 +39,11 @@
       stewards_(stewards),
       readiness_(readiness),
       metrics_(metrics),
-      inbox_(inbox) {}
+      inbox_(inbox) {
+  control_context& context = *this;
+  parts_.push_back(std::make_unique<spread_part>(context));
+  parts_.push_back(std::make_unique<roster_part>(context));
+}
 
 control_duty::~control_duty() { Stop(); }
 
@@ -48,108 +63,122 @@
   control_duty_event event;
   while (inbox_.Pop(event)) {
     std::visit([this](auto& each) { Handle(each); }, event);
+    PublishIfChanged();
   }
 }
 
-void control_duty::Handle(tick& /*event*/) {
-  for (const char* kind : {"configuration", "snapshots", "roster", "order"}) {
-    const std::uint64_t call = ++last_call_;
-    kind_of_call_[call] = kind;
-    platform_.CallFromControl(
-        {call, platform_list{kind}, settings_.platform_timeout});
-  }
+void control_duty::Handle(tick& event) {
+  for (const auto& part : parts_) part->OnTick(event.now);
 }
 
-void control_duty::Handle(control_event& /*event*/) {}
+void control_duty::Handle(control_event& event) {
+  for (const auto& part : parts_) {
+    part->OnControlMessage(event.from, event.message);
+  }
+}
 
-void control_duty::Handle(peer_link_event& /*event*/) {}
+void control_duty::Handle(peer_link_event& event) {
+  for (const auto& part : parts_) part->OnPeerLink(event);
+}
 
 void control_duty::Handle(platform_event& event) {
-  const auto call = kind_of_call_.find(event.reply.call_id);
-  if (call == kind_of_call_.end()) return;
-  const std::string kind = call->second;
-  kind_of_call_.erase(call);
-  if (event.reply.status != platform_status::kOk) return;
-  if (kind == "configuration" && !event.reply.objects.empty()) {
-    auto parsed = ParseConfiguration(event.reply.objects.front().value);
-    if (parsed.has_value()) {
-      view_.config = std::make_shared<const configuration>(*parsed);
-    }
-  }
-  if (kind == "snapshots") {
-    view_.snapshots.clear();
-    for (const platform_object& object : event.reply.objects) {
-      auto parsed = ParseSnapshots(object.name, object.value);
-      if (parsed.has_value()) view_.snapshots.push_back(*parsed);
-    }
+  const auto call = calls_.find(event.reply.call_id);
+  if (call == calls_.end()) return;
+  const platform_callback done = std::move(call->second);
+  calls_.erase(call);
+  done(event.reply);
+}
+
+void control_duty::Handle(order_event& event) {
+  for (const auto& part : parts_) {
+    if (part->OnOrder(event)) return;
   }
-  if (kind == "roster") OnRosters(event.reply);
-  Publish();
-}
-
-void control_duty::OnRosters(const platform_reply& reply) {
-  view_.rosters.clear();
-  roster own;
-  own.data_centre = settings_.data_centre;
-  std::uint64_t own_version = 0;
-  for (const platform_object& object : reply.objects) {
-    auto parsed = ParseRoster(object.name, object.value);
-    if (!parsed.has_value()) continue;
-    if (object.name == settings_.data_centre) {
-      own = *parsed;
-      own_version = object.version;
-    }
-    for (const roster_member& member : parsed->members) {
-      if (member.identity == self_) continue;
-      peers_.SetAddress(member.identity, member.peers);
+  event.reply(R"({"error":"orders are not served by this instance"})");
+}
+
+void control_duty::Handle(status_query& event) {
+  nlohmann::json status = {{"instance", self_.name},
+                           {"incarnation", self_.incarnation},
+                           {"data_centre", settings_.data_centre}};
+  for (const auto& part : parts_) part->Describe(status);
+  event.reply(status.dump());
+}
+
+void control_duty::Handle(handover_event& event) {
+  for (const auto& part : parts_) part->OnHandover(event);
+}
+
+void control_duty::Handle(drain_event& event) {
+  draining_ = true;
+  view_changed_ = true;
+  PublishIfChanged();
+  const auto done = AfterAll(parts_.size(), event.done);
+  for (const auto& part : parts_) part->OnDrain(done);
+}
+
+bool control_duty::Send(const std::string& peer, control_message message) {
+  return peers_.Send(peer, std::move(message));
+}
+
+bool control_duty::SendToStewards(steward_event event) {
+  return stewards_.TryPush(std::move(event));
+}
+
+void control_duty::CallPlatform(platform_operation operation,
+                                platform_callback done) {
+  const std::uint64_t call = ++last_call_;
+  calls_[call] = std::move(done);
+  platform_.CallFromControl(
+      {call, std::move(operation), settings_.platform_timeout});
+}
+
+bool control_duty::Offer(versioned_object object) {
+  std::uint64_t& version = versions_[object.key];
+  if (object.version <= version) return false;
+  if (!PutIntoView(object, view_)) return false;
+  version = object.version;
+  if (object.key.kind == object_kind::kRoster) {
+    for (const roster& each : view_.rosters) {
+      if (each.data_centre != object.key.name) continue;
+      for (const roster_member& listed : each.members) {
+        if (listed.identity.name == self_.name) continue;
+        peers_.SetAddress(listed.identity, listed.peers);
+      }
     }
-    view_.rosters.push_back(*std::move(parsed));
   }
-  if (view_.config == nullptr) return;
-  std::vector<std::string> upstreams;
-  for (const service_definition& service : view_.config->services) {
-    for (const upstream_definition& upstream : service.upstreams) {
-      if (upstream.data_centre == settings_.data_centre) {
-        upstreams.push_back(upstream.name);
-      }
+  view_changed_ = true;
+  for (const auto& part : parts_) part->OnObject(object);
+  return true;
+}
+
+std::string control_duty::ReasonNotReady() const {
+  if (draining_) return "shutting down";
+  if (view_.config == nullptr) return "no configuration yet";
+  for (const data_centre_order& order : view_.orders) {
+    if (order.out && order.data_centre == settings_.data_centre) {
+      return "data centre is out";
     }
   }
-  const bool member = std::any_of(
-      own.members.begin(), own.members.end(),
-      [this](const roster_member& each) { return each.identity == self_; });
-  if (member && own.assignments.size() == upstreams.size()) return;
-  own.members.erase(std::remove_if(own.members.begin(), own.members.end(),
-                                   [this](const roster_member& each) {
-                                     return each.identity.name == self_.name;
-                                   }),
-                    own.members.end());
-  own.members.push_back({self_, settings_.peers});
-  own.assignments.clear();
-  for (std::size_t i = 0; i < upstreams.size(); ++i) {
-    own.assignments.push_back(
-        {upstreams[i], own.members[i % own.members.size()].identity.name});
+  for (const roster& each : view_.rosters) {
+    if (each.data_centre != settings_.data_centre) continue;
+    const bool listed = std::any_of(
+        each.members.begin(), each.members.end(),
+        [this](const roster_member& one) { return one.identity == self_; });
+    if (listed) return "";
   }
-  own.epoch = own_version + 1;
-  platform_.CallFromControl({++last_call_,
-                             platform_put{"roster", settings_.data_centre,
-                                          own_version, FormatRoster(own)},
-                             settings_.platform_timeout});
+  return "not in the roster of its data centre yet";
 }
 
-void control_duty::Handle(order_event& event) { event.reply("{}"); }
-
-void control_duty::Handle(status_query& event) { event.reply("{}"); }
-
-void control_duty::Handle(handover_event& /*event*/) {}
-
-void control_duty::Handle(drain_event& event) { event.done(); }
-
-void control_duty::Publish() {
-  view_.ready = view_.config != nullptr && !view_.rosters.empty();
-  readiness_.SetReady(view_.ready, "no configuration or roster yet");
+void control_duty::PublishIfChanged() {
+  if (!view_changed_) return;
+  const std::string reason = ReasonNotReady();
+  view_.ready = reason.empty();
+  readiness_.SetReady(view_.ready, reason);
   const auto view = std::make_shared<const cluster_view>(view_);
-  router_.TryPush(view_update{view});
-  stewards_.TryPush(view_update{view});
+  // A full ring keeps the change for the next event.
+  const bool routed = router_.TryPush(view_update{view});
+  const bool stewarded = stewards_.TryPush(view_update{view});
+  view_changed_ = !routed || !stewarded;
 }
 
 }  // namespace papayaglade
--- a/src/app/control_duty.h
+++ b/src/app/control_duty.h
@@ -4,30 +4,44 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "app/control_part.h"
 #include "app/duty_thread.h"
-#include "coordination/metrics_sink.h"
-#include "coordination/ports.h"
 #include "coordination/timer_service.h"
-#include "state/events.h"
-#include "state/instance_settings.h"
 
 namespace papayaglade {
 
-/// The control duty: membership, rosters, orders and configuration.
-class control_duty {
+/// The control duty: passes each event to its parts, keeps the agreed view
+/// and tells the router, the stewards and the balancer of its changes.
+class control_duty : private control_context {
  public:
   control_duty(const instance_settings& settings, const instance_identity& self,
                timer_service& timer, peer_port& peers, platform_port& platform,
                router_ring& router, steward_ring& stewards,
                readiness_port& readiness, metrics_sink& metrics,
                control_ring& inbox);
-  ~control_duty();
+  ~control_duty() override;
 
   void Start();
   void Stop();
 
  private:
+  // control_context, for the parts.
+  const instance_settings& Settings() const override { return settings_; }
+  const instance_identity& Self() const override { return self_; }
+  monotonic_time Now() const override { return timer_.Now(); }
+  metrics_sink& Metrics() override { return metrics_; }
+  peer_port& Peers() override { return peers_; }
+  bool Send(const std::string& peer, control_message message) override;
+  bool SendToStewards(steward_event event) override;
+  void CallPlatform(platform_operation operation,
+                    platform_callback done) override;
+  const std::vector<member>& Members() const override { return members_; }
+  const cluster_view& View() const override { return view_; }
+  bool Offer(versioned_object object) override;
+  void PublishView() override { view_changed_ = true; }
+
   void Run();
   void Handle(tick& event);
   void Handle(control_event& event);
@@ -38,8 +52,8 @@
   void Handle(handover_event& event);
   void Handle(drain_event& event);
 
-  void OnRosters(const platform_reply& reply);
-  void Publish();
+  std::string ReasonNotReady() const;
+  void PublishIfChanged();
 
   instance_settings settings_;
   instance_identity self_;
@@ -54,8 +68,13 @@
   duty_thread thread_;
   timer_service::subscription subscription_ = 0;
   std::uint64_t last_call_ = 0;
-  std::map<std::uint64_t, std::string> kind_of_call_;
+  std::map<std::uint64_t, platform_callback> calls_;
+  std::map<object_key, std::uint64_t> versions_;
+  std::vector<member> members_;
   cluster_view view_;
+  bool view_changed_ = true;
+  bool draining_ = false;
+  std::vector<std::unique_ptr<control_part>> parts_;
 };
 
 }  // namespace papayaglade
