--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -69,7 +69,7 @@
   std::string Start() {
     std::string failed = callers_.Listen(settings_.callers);
     if (!failed.empty()) return BindFailure("callers", failed);
-    failed = peers_.Listen(settings_.peers);
+    failed = peers_.Listen(settings_.peers_listen);
     if (!failed.empty()) return BindFailure("peers", failed);
     failed = operators_.Start();
     if (!failed.empty()) return BindFailure("operators", failed);
