Admit work to each upstream by a state machine of its own

The thin path sent whatever came as soon as a connection was idle. The stewards duty now gives every event to one dispatcher an upstream, which counts requests whose end is unproven, starts slowly, queues by class and checks standing, deadline and phase right before each send.

--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -117,6 +117,17 @@
   const bool member = std::any_of(
       own.members.begin(), own.members.end(),
       [this](const roster_member& each) { return each.identity == self_; });
+  standing_update standing;
+  standing.roster_epoch = own.epoch;
+  // The reply proves the roster at the sending of its call at the earliest.
+  standing.proven_until =
+      timer_.Now() + settings_.coordination.lease - settings_.platform_timeout;
+  for (const steward_assignment& each : own.assignments) {
+    if (member && each.steward == self_.name) {
+      standing.upstreams.push_back(each.upstream);
+    }
+  }
+  stewards_.TryPush(standing);
   if (member && own.assignments.size() == upstreams.size()) return;
   own.members.erase(std::remove_if(own.members.begin(), own.members.end(),
                                    [this](const roster_member& each) {
--- /dev/null
+++ b/src/app/dispatch_outlet.h
@@ -0,0 +1,63 @@
+#ifndef PAPAYAGLADE_APP_DISPATCH_OUTLET_H_
+#define PAPAYAGLADE_APP_DISPATCH_OUTLET_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "app/result_outbox.h"
+#include "coordination/ports.h"
+#include "coordination/timer_service.h"
+#include "coordination/upstream_dispatcher.h"
+
+namespace papayaglade {
+
+/// Counts since the last report to the metrics.
+struct dispatch_counts {
+  std::uint64_t requests = 0;
+  std::uint64_t losses = 0;
+  /// By shard_reason, of results that did not answer.
+  std::array<std::uint64_t, 16> refusals{};
+};
+
+/// Carries out the decisions of one upstream's dispatcher: encodes requests
+/// for the upstreams duty and collects results.
+class dispatch_outlet : public dispatch_port {
+ public:
+  /// `number` tells this upstream's ids from those of others.
+  dispatch_outlet(std::uint64_t number, timer_service& timer,
+                  upstream_port& upstreams, result_outbox& results);
+
+  /// Returns the number of the upstream that chose `id`.
+  static std::uint64_t NumberOf(std::uint64_t id);
+
+  monotonic_time Now() const override { return timer_.Now(); }
+  std::uint64_t NextId() override;
+  bool Open(const open_connection& command) override;
+  void Close(std::uint64_t connection_id) override;
+  bool SendWork(std::uint64_t connection_id, std::uint64_t exchange_id,
+                const queued_attempt& attempt, monotonic_time now,
+                monotonic_time not_after) override;
+  bool SendCancel(std::uint64_t connection_id, std::uint64_t exchange_id,
+                  const std::vector<queued_attempt>& attempts) override;
+  bool SendHealth(std::uint64_t connection_id,
+                  std::uint64_t exchange_id) override;
+  void Finish(const queued_attempt& attempt, shard_result result) override;
+
+  /// Returns the counts since the last call.
+  dispatch_counts TakeCounts();
+
+ private:
+  std::uint64_t number_;
+  timer_service& timer_;
+  upstream_port& upstreams_;
+  result_outbox& results_;
+  std::uint64_t last_id_ = 0;
+  std::vector<std::uint64_t> unclosed_;
+  dispatch_counts counts_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_APP_DISPATCH_OUTLET_H_
--- a/src/app/steward_duty.cc
+++ b/src/app/steward_duty.cc
@@ -1,22 +1,34 @@
 #include "app/steward_duty.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 #include "protocol/upstream_codec.h"
+#include "protocol/upstream_state_codec.h"
 
 namespace papayaglade {
 
 namespace {
 
 constexpr std::chrono::milliseconds kTickPeriod{5};
-constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr std::chrono::milliseconds kMetricsPeriod{1000};
+// Results wait for the end of a wake-up, so a wake-up must end under load.
+constexpr int kEventsPerWakeUp = 256;
 
-std::chrono::microseconds Since(monotonic_time start, monotonic_time now) {
-  return std::chrono::duration_cast<std::chrono::microseconds>(now - start);
+std::uint64_t FlowOf(const shard_batch& batch) {
+  return std::hash<std::string>()(batch.caller) ^ batch.origin.incarnation;
 }
 
 }  // namespace
 
+steward_duty::served_upstream::served_upstream(
+    const upstream_definition& definition, std::uint64_t number,
+    steward_duty& duty)
+    : outlet(number, duty.timer_, duty.upstreams_, duty.results_),
+      dispatcher(definition, {}, duty.standing_, outlet,
+                 duty.self_.incarnation + number) {}
+
 steward_duty::steward_duty(const instance_settings& settings,
                            const instance_identity& self, timer_service& timer,
                            peer_port& peers, upstream_port& upstreams,
@@ -25,18 +37,20 @@
     : settings_(settings),
       self_(self),
       timer_(timer),
-      peers_(peers),
       upstreams_(upstreams),
-      router_(router),
       metrics_(metrics),
-      inbox_(inbox) {}
+      inbox_(inbox),
+      results_(self, peers, router) {}
 
 steward_duty::~steward_duty() { Stop(); }
 
 void steward_duty::Start() {
   subscription_ = timer_.Subscribe(
       kTickPeriod, [this](monotonic_time now) { inbox_.TryPush(tick{now}); });
-  thread_.Start("stewards", [this] { Run(); });
+  thread_.Start("stewards", [this] {
+    while (RunOnce()) {
+    }
+  });
 }
 
 void steward_duty::Stop() {
@@ -45,135 +59,208 @@
   thread_.Join();
 }
 
-void steward_duty::Run() {
+bool steward_duty::RunOnce() {
   steward_event event;
-  while (inbox_.Pop(event)) {
-    std::visit([this](auto& each) { Handle(each); }, event);
+  if (!inbox_.Pop(event)) return false;
+  HandleAll(event);
+  for (int i = 1; i < kEventsPerWakeUp && inbox_.TryPop(event); ++i) {
+    HandleAll(event);
   }
+  results_.Flush();
+  FinishDrains();
+  return true;
+}
+
+void steward_duty::HandleAll(steward_event& event) {
+  std::visit([this](auto& each) { Handle(each); }, event);
 }
 
-void steward_duty::Handle(tick& /*event*/) {}
+void steward_duty::Handle(tick& event) {
+  for (const auto& each : served_) each->dispatcher.OnTick();
+  if (event.now >= metrics_due_) ReportMetrics(event.now);
+}
 
 void steward_duty::Handle(view_update& event) {
-  view_ = event.view;
-  if (view_->config == nullptr) return;
-  for (const service_definition& service : view_->config->services) {
+  const cluster_view& view = *event.view;
+  if (view.config == nullptr) return;
+  for (const service_definition& service : view.config->services) {
     for (const upstream_definition& upstream : service.upstreams) {
-      served_[upstream.name].definition = upstream;
+      if (upstream.data_centre == settings_.data_centre) Serve(upstream);
     }
   }
+  const bool out = std::any_of(view.orders.begin(), view.orders.end(),
+                               [this](const data_centre_order& order) {
+                                 return order.out && order.data_centre ==
+                                                         settings_.data_centre;
+                               });
+  for (const auto& each : served_) each->dispatcher.SetDataCentreOut(out);
 }
 
-void steward_duty::Handle(standing_update& /*event*/) {}
+void steward_duty::Handle(standing_update& event) {
+  standing_.Update(event);
+  for (const auto& each : served_) each->dispatcher.OnStandingChanged();
+}
 
 void steward_duty::Handle(batch_event& event) {
+  const std::uint64_t flow = FlowOf(event.batch);
   const auto batch =
       std::make_shared<const shard_batch>(std::move(event.batch));
+  std::vector<upstream_dispatcher*> touched;
   for (std::size_t i = 0; i < batch->attempts.size(); ++i) {
-    queued_attempt attempt{0, batch, i, event.deadline, {}};
-    const auto found = served_.find(batch->attempts[i].upstream);
-    if (found == served_.end()) {
+    queued_attempt attempt{batch, i, event.deadline, {}, flow};
+    upstream_dispatcher* const owner = FindByName(batch->attempts[i].upstream);
+    if (owner == nullptr) {
       shard_result refusal;
+      refusal.attempt_id = batch->attempts[i].attempt_id;
       refusal.status = shard_status::kNotRun;
       refusal.reason = shard_reason::kNotSteward;
-      Answer(attempt, std::move(refusal));
+      results_.Add(batch->origin, std::move(refusal));
       continue;
     }
-    found->second.queue.push_back(std::move(attempt));
-    Pump(found->second);
+    owner->Enqueue(std::move(attempt));
+    const bool seen =
+        std::find(touched.begin(), touched.end(), owner) != touched.end();
+    if (!seen) touched.push_back(owner);
   }
+  for (upstream_dispatcher* const each : touched) each->Pump();
 }
 
-void steward_duty::Handle(cancel_event& /*event*/) {}
+void steward_duty::Handle(cancel_event& event) {
+  for (const std::uint64_t attempt_id : event.cancel.attempt_ids) {
+    const attempt_key key{event.cancel.origin.incarnation, attempt_id};
+    for (const auto& each : served_) {
+      if (each->dispatcher.Cancel(key)) break;
+    }
+  }
+  for (const auto& each : served_) each->dispatcher.Pump();
+}
 
 void steward_duty::Handle(connection_opened& event) {
-  served_upstream& upstream =
-      served_.at(owner_of_connection_.at(event.connection_id));
-  upstream.idle.push_back(event.connection_id);
-  Pump(upstream);
+  upstream_dispatcher* const owner = FindById(event.connection_id);
+  if (owner != nullptr) owner->OnOpened(event.connection_id);
 }
 
 void steward_duty::Handle(connection_failed& event) {
-  const auto owner = owner_of_connection_.find(event.connection_id);
-  if (owner == owner_of_connection_.end()) return;
-  served_upstream& upstream = served_.at(owner->second);
-  --upstream.opened;
-  owner_of_connection_.erase(owner);
-  const auto lost = in_flight_.find(event.connection_id);
-  if (lost == in_flight_.end()) return;
-  shard_result result;
-  result.reason = shard_reason::kUpstreamLost;
-  Answer(lost->second, std::move(result));
-  in_flight_.erase(lost);
+  upstream_dispatcher* const owner = FindById(event.connection_id);
+  if (owner != nullptr) owner->OnFailed(event);
 }
 
 void steward_duty::Handle(exchange_reply& event) {
-  const auto sent = in_flight_.find(event.connection_id);
-  if (sent == in_flight_.end()) return;
-  upstream_reply reply = ParseUpstreamReply(event.status, event.body);
-  shard_result result;
-  result.upstream_time = Since(sent->second.sent, timer_.Now());
-  result.snapshot = reply.snapshot;
-  result.hits = std::move(reply.hits);
-  if (reply.verdict == upstream_verdict::kAnswered) {
-    result.status = shard_status::kAnswered;
-  } else {
-    result.reason = shard_reason::kUpstreamRefused;
+  upstream_dispatcher* const owner = FindById(event.connection_id);
+  if (owner == nullptr) return;
+  const auto kind = owner->KindOf(event.exchange_id);
+  if (!kind.has_value()) return;
+  switch (*kind) {
+    case upstream_dispatcher::exchange_kind::kWork:
+      return owner->OnWorkReply(event,
+                                ParseUpstreamReply(event.status, event.body));
+    case upstream_dispatcher::exchange_kind::kHealth:
+      return owner->OnHealthReply(event,
+                                  ParseHealthReply(event.status, event.body));
+    case upstream_dispatcher::exchange_kind::kCancel:
+      break;
+  }
+  const auto names = ParseUpstreamCancelReply(event.status, event.body);
+  const std::set<std::string> ended(names.begin(), names.end());
+  std::vector<attempt_key> keys;
+  for (const queued_attempt& each : owner->CancelledBy(event.exchange_id)) {
+    const std::string name =
+        AttemptName(each.batch->origin, each.Attempt().attempt_id);
+    if (ended.count(name) != 0) keys.push_back(each.Key());
   }
-  Answer(sent->second, std::move(result));
-  in_flight_.erase(sent);
-  served_upstream& upstream =
-      served_.at(owner_of_connection_.at(event.connection_id));
-  upstream.idle.push_back(event.connection_id);
-  Pump(upstream);
+  owner->OnCancelReply(event, keys);
 }
 
-void steward_duty::Handle(handover_event& /*event*/) {}
+void steward_duty::Handle(handover_event& event) {
+  for (const handover& each : event.upstreams) {
+    upstream_dispatcher* const adopter = FindByName(each.upstream);
+    const auto state = ParseUpstreamState(each.state);
+    if (adopter != nullptr && state.has_value()) adopter->Adopt(*state);
+  }
+}
 
-void steward_duty::Handle(handover_request& event) { event.reply({}); }
+void steward_duty::Handle(handover_request& event) {
+  std::vector<handover> states;
+  for (const auto& each : served_) {
+    const std::string& name = each->dispatcher.Definition().name;
+    const bool asked =
+        event.upstreams.empty() ||
+        std::count(event.upstreams.begin(), event.upstreams.end(), name) != 0;
+    if (!asked || !standing_.Holds(name)) continue;
+    states.push_back({name, FormatUpstreamState(each->dispatcher.Release())});
+  }
+  event.reply(std::move(states));
+}
 
 void steward_duty::Handle(peer_link_event& /*event*/) {}
 
-void steward_duty::Handle(status_query& event) { event.reply("{}"); }
-
-void steward_duty::Handle(drain_event& event) { event.done(); }
-
-void steward_duty::Pump(served_upstream& upstream) {
-  while (!upstream.queue.empty() && !upstream.idle.empty()) {
-    queued_attempt attempt = std::move(upstream.queue.front());
-    upstream.queue.pop_front();
-    const std::uint64_t connection = upstream.idle.back();
-    upstream.idle.pop_back();
-    const shard_attempt& wanted = attempt.batch->attempts[attempt.index];
-    attempt.sent = timer_.Now();
-    http_request request = FormatUpstreamRequest(
-        {AttemptName(attempt.batch->origin, wanted.attempt_id), wanted.shard,
-         attempt.batch->snapshot, attempt.batch->request_id,
-         attempt.batch->query, Since(attempt.sent, attempt.deadline),
-         attempt.batch->repeatable});
-    upstreams_.Send(send_exchange{connection, ++last_id_, request.method,
-                                  request.target, std::move(request.body)});
-    in_flight_.emplace(connection, std::move(attempt));
+void steward_duty::Handle(status_query& event) {
+  std::vector<upstream_report> upstreams;
+  for (const auto& each : served_) {
+    const bool ours = standing_.Holds(each->dispatcher.Definition().name);
+    if (ours) upstreams.push_back(Report(each->dispatcher));
+  }
+  event.reply(FormatStewardStatus(standing_, timer_.Now(), upstreams));
+}
+
+void steward_duty::Handle(drain_event& event) {
+  drains_.push_back(std::move(event.done));
+}
+
+void steward_duty::Serve(const upstream_definition& definition) {
+  upstream_dispatcher* const known = FindByName(definition.name);
+  if (known != nullptr) return known->SetDefinition(definition);
+  number_of_[definition.name] = served_.size();
+  served_.push_back(
+      std::make_unique<served_upstream>(definition, served_.size(), *this));
+  served_.back()->dispatcher.OnStandingChanged();
+}
+
+upstream_dispatcher* steward_duty::FindByName(const std::string& upstream) {
+  const auto found = number_of_.find(upstream);
+  if (found == number_of_.end()) return nullptr;
+  return &served_[found->second]->dispatcher;
+}
+
+upstream_dispatcher* steward_duty::FindById(std::uint64_t id) {
+  const std::uint64_t number = dispatch_outlet::NumberOf(id);
+  if (number >= served_.size()) return nullptr;
+  return &served_[number]->dispatcher;
+}
+
+upstream_report steward_duty::Report(
+    const upstream_dispatcher& dispatcher) const {
+  const upstream_definition& definition = dispatcher.Definition();
+  return {definition.name, definition.limits, dispatcher.Summary()};
+}
+
+void steward_duty::ReportMetrics(monotonic_time now) {
+  metrics_due_ = now + kMetricsPeriod;
+  for (const auto& each : served_) {
+    const std::string& name = each->dispatcher.Definition().name;
+    const dispatch_counts counts = each->outlet.TakeCounts();
+    if (!standing_.Holds(name)) continue;
+    ReportUpstream(metrics_, Report(each->dispatcher), counts);
   }
-  const bool may_open = upstream.opened < upstream.definition.limits.slots;
-  if (upstream.queue.empty() || !may_open) return;
-  ++upstream.opened;
-  const std::uint64_t connection = ++last_id_;
-  owner_of_connection_[connection] = upstream.definition.name;
-  upstreams_.Send(open_connection{connection, upstream.definition.address,
-                                  kConnectTimeout});
-}
-
-void steward_duty::Answer(const queued_attempt& attempt, shard_result result) {
-  const shard_batch& batch = *attempt.batch;
-  result.attempt_id = batch.attempts[attempt.index].attempt_id;
-  shard_results message;
-  message.results.push_back(std::move(result));
-  if (batch.origin == self_) {
-    router_.TryPush(results_event{std::move(message)});
-  } else {
-    peers_.Send(batch.origin.name, std::move(message));
+  for (const request_class priority :
+       {request_class::kCounter, request_class::kFull,
+        request_class::kArchive}) {
+    std::size_t waiting = 0;
+    for (const auto& each : served_) {
+      waiting += each->dispatcher.Queued(priority);
+    }
+    metrics_.Set(gauge_metric::kQueueLength, RequestClassName(priority),
+                 static_cast<double>(waiting));
   }
 }
 
+void steward_duty::FinishDrains() {
+  if (drains_.empty()) return;
+  const bool idle =
+      std::all_of(served_.begin(), served_.end(),
+                  [](const auto& each) { return each->dispatcher.Idle(); });
+  if (!idle || !results_.Empty()) return;
+  for (const std::function<void()>& done : std::exchange(drains_, {})) done();
+}
+
 }  // namespace papayaglade
--- a/src/app/steward_duty.h
+++ b/src/app/steward_duty.h
@@ -1,23 +1,28 @@
 #ifndef PAPAYAGLADE_APP_STEWARD_DUTY_H_
 #define PAPAYAGLADE_APP_STEWARD_DUTY_H_
 
-#include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "app/dispatch_outlet.h"
 #include "app/duty_thread.h"
+#include "app/result_outbox.h"
+#include "app/steward_report.h"
 #include "coordination/metrics_sink.h"
 #include "coordination/ports.h"
+#include "coordination/steward_standing.h"
 #include "coordination/timer_service.h"
+#include "coordination/upstream_dispatcher.h"
 #include "state/events.h"
 #include "state/instance_settings.h"
 
 namespace papayaglade {
 
-/// The stewards duty: admits work to the upstreams assigned to this instance
-/// and sends it over their connections.
+/// The stewards duty: gives every event to the dispatcher of its upstream and
+/// sends results, one message to each entry instance and wake-up.
 class steward_duty {
  public:
   steward_duty(const instance_settings& settings, const instance_identity& self,
@@ -28,22 +33,18 @@
   void Start();
   void Stop();
 
+  /// Handles what waits in the ring; false once the ring is closed.
+  bool RunOnce();
+
  private:
-  struct queued_attempt {
-    std::uint64_t exchange_id = 0;
-    std::shared_ptr<const shard_batch> batch;
-    std::size_t index = 0;
-    monotonic_time deadline;
-    monotonic_time sent;
-  };
   struct served_upstream {
-    upstream_definition definition;
-    std::vector<std::uint64_t> idle;
-    int opened = 0;
-    std::deque<queued_attempt> queue;
+    served_upstream(const upstream_definition& definition, std::uint64_t number,
+                    steward_duty& duty);
+    dispatch_outlet outlet;
+    upstream_dispatcher dispatcher;
   };
 
-  void Run();
+  void HandleAll(steward_event& event);
   void Handle(tick& event);
   void Handle(view_update& event);
   void Handle(standing_update& event);
@@ -58,24 +59,27 @@
   void Handle(status_query& event);
   void Handle(drain_event& event);
 
-  void Pump(served_upstream& upstream);
-  void Answer(const queued_attempt& attempt, shard_result result);
+  void Serve(const upstream_definition& definition);
+  upstream_dispatcher* FindByName(const std::string& upstream);
+  upstream_dispatcher* FindById(std::uint64_t id);
+  upstream_report Report(const upstream_dispatcher& dispatcher) const;
+  void ReportMetrics(monotonic_time now);
+  void FinishDrains();
 
   instance_settings settings_;
   instance_identity self_;
   timer_service& timer_;
-  peer_port& peers_;
   upstream_port& upstreams_;
-  router_ring& router_;
   metrics_sink& metrics_;
   steward_ring& inbox_;
+  result_outbox results_;
   duty_thread thread_;
   timer_service::subscription subscription_ = 0;
-  std::shared_ptr<const cluster_view> view_;
-  std::unordered_map<std::string, served_upstream> served_;
-  std::unordered_map<std::uint64_t, std::string> owner_of_connection_;
-  std::unordered_map<std::uint64_t, queued_attempt> in_flight_;
-  std::uint64_t last_id_ = 0;
+  steward_standing standing_;
+  std::vector<std::unique_ptr<served_upstream>> served_;  // By number.
+  std::unordered_map<std::string, std::size_t> number_of_;
+  std::vector<std::function<void()>> drains_;
+  monotonic_time metrics_due_{};
 };
 
 }  // namespace papayaglade
--- /dev/null
+++ b/src/app/steward_report.h
@@ -0,0 +1,32 @@
+#ifndef PAPAYAGLADE_APP_STEWARD_REPORT_H_
+#define PAPAYAGLADE_APP_STEWARD_REPORT_H_
+
+#include <string>
+#include <vector>
+
+#include "app/dispatch_outlet.h"
+#include "coordination/metrics_sink.h"
+#include "coordination/steward_standing.h"
+#include "coordination/upstream_dispatcher.h"
+
+namespace papayaglade {
+
+/// One upstream as the stewards duty reports it.
+struct upstream_report {
+  std::string name;
+  upstream_limits limits;
+  upstream_dispatcher::summary summary;
+};
+
+/// The status of the stewards duty as JSON text, for operators.
+std::string FormatStewardStatus(const steward_standing& standing,
+                                monotonic_time now,
+                                const std::vector<upstream_report>& upstreams);
+
+/// Sets the gauges of one upstream and adds its counts.
+void ReportUpstream(metrics_sink& metrics, const upstream_report& upstream,
+                    const dispatch_counts& counts);
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_APP_STEWARD_REPORT_H_
--- /dev/null
+++ b/src/coordination/class_queue.h
@@ -0,0 +1,106 @@
+#ifndef PAPAYAGLADE_COORDINATION_CLASS_QUEUE_H_
+#define PAPAYAGLADE_COORDINATION_CLASS_QUEUE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "state/shard_messages.h"
+#include "state/time.h"
+
+namespace papayaglade {
+
+/// Identifies one attempt among all entry instances and their lives.
+struct attempt_key {
+  std::uint64_t origin_incarnation = 0;
+  std::uint64_t attempt_id = 0;
+};
+
+inline bool operator==(const attempt_key& a, const attempt_key& b) {
+  return a.attempt_id == b.attempt_id &&
+         a.origin_incarnation == b.origin_incarnation;
+}
+
+/// One attempt of a batch on its way through the steward.
+struct queued_attempt {
+  std::shared_ptr<const shard_batch> batch;
+  std::size_t index = 0;
+  monotonic_time deadline;
+  monotonic_time arrival;
+  std::uint64_t flow = 0;  ///< Same for one caller at one entry instance.
+
+  const shard_attempt& Attempt() const { return batch->attempts[index]; }
+  attempt_key Key() const {
+    return {batch->origin.incarnation, Attempt().attempt_id};
+  }
+};
+
+/// Bounds and shares of the classes.
+struct class_queue_settings {
+  std::size_t capacity = 512;  ///< Attempts waiting in one class.
+  /// Turns that a class earns while another is served, by request_class.
+  std::array<double, 3> share = {1.0, 0.2, 0.05};
+  /// A class whose first attempt waited this long earns four times as much.
+  std::chrono::milliseconds ageing{500};
+};
+
+/// Attempts waiting for one upstream: counter lookups first, but no class and
+/// no caller starves.
+class class_queue {
+ public:
+  explicit class_queue(const class_queue_settings& settings);
+
+  /// Returns the attempt that must be refused to stay within the bound: the
+  /// given one, or the last of the caller with most waiting.
+  std::optional<queued_attempt> Push(queued_attempt attempt);
+
+  std::optional<queued_attempt> Pop(monotonic_time now);
+
+  std::optional<queued_attempt> Remove(const attempt_key& key);
+
+  /// Takes out every attempt whose deadline is `limit` or earlier.
+  std::vector<queued_attempt> TakeDue(monotonic_time limit);
+
+  std::vector<queued_attempt> TakeAll();
+
+  /// Attempts that would be served before a new one of this class and flow.
+  std::size_t Ahead(request_class priority, std::uint64_t flow) const;
+
+  bool Empty() const { return size_ == 0; }
+  std::size_t Size() const { return size_; }
+  std::size_t Size(request_class priority) const;
+
+ private:
+  struct flow_queue {
+    std::uint64_t flow = 0;
+    std::deque<queued_attempt> waiting;
+  };
+  struct class_state {
+    std::deque<flow_queue> flows;  // Served in turn: the front one is next.
+    std::size_t size = 0;
+    double credit = 0;
+  };
+
+  flow_queue& FlowOf(class_state& own, std::uint64_t flow);
+  static std::size_t SizeOfFlow(const class_state& own, std::uint64_t flow);
+  std::optional<queued_attempt> DropFromLongest(class_state& own,
+                                                std::uint64_t newcomer);
+  std::size_t Choose(monotonic_time now);
+  queued_attempt TakeNext(class_state& own);
+  bool Aged(const class_state& own, monotonic_time now) const;
+  std::vector<queued_attempt> TakeIf(
+      const std::function<bool(const queued_attempt&)>& wanted);
+
+  class_queue_settings settings_;
+  std::array<class_state, 3> classes_;  // By request_class.
+  std::size_t size_ = 0;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_CLASS_QUEUE_H_
--- /dev/null
+++ b/src/coordination/connection_pool.cc
@@ -0,0 +1,149 @@
+#include "coordination/connection_pool.h"
+
+#include <algorithm>
+
+namespace papayaglade {
+
+namespace {
+
+using use = connection_pool::connection::use;
+
+// A handful at once warms a pool within two round trips without a burst of
+// handshakes at an upstream that has just started.
+constexpr int kOpeningAtOnce = 4;
+
+}  // namespace
+
+connection_pool::connection_pool(int limit,
+                                 const connection_pool_settings& settings,
+                                 std::uint64_t seed)
+    : limit_(limit), settings_(settings), random_(seed) {}
+
+bool connection_pool::ShouldOpen(int wanted, monotonic_time now) {
+  if (now < open_not_before_) return false;
+  const auto passed = [now](monotonic_time end) { return end <= now; };
+  retired_.erase(std::remove_if(retired_.begin(), retired_.end(), passed),
+                 retired_.end());
+  const int room = limit_ - CountRetired();
+  const auto opening = std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const connection& each) { return each.state == use::kOpening; });
+  // While an address refuses, one attempt at a time is a probe of it.
+  const int at_once = backoff_.count() == 0 ? kOpeningAtOnce : 1;
+  return opening < at_once &&
+         CountOpen() < std::min(room, wanted + settings_.spare);
+}
+
+void connection_pool::OnOpening(std::uint64_t id, monotonic_time now) {
+  connections_.push_back({id, use::kOpening, false, now, now});
+}
+
+void connection_pool::OnOpened(std::uint64_t id, monotonic_time now) {
+  backoff_ = std::chrono::milliseconds(0);
+  OnIdle(id, true, now);
+}
+
+void connection_pool::OnRefused(std::uint64_t id, monotonic_time now) {
+  OnClosed(id);
+  backoff_ = backoff_.count() == 0
+                 ? settings_.first_backoff
+                 : std::min(backoff_ * 2, settings_.longest_backoff);
+  std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 2,
+                                                     backoff_.count());
+  open_not_before_ = now + std::chrono::milliseconds(jitter(random_));
+}
+
+void connection_pool::OnClosed(std::uint64_t id) {
+  const auto found =
+      std::find_if(connections_.begin(), connections_.end(),
+                   [id](const connection& each) { return each.id == id; });
+  if (found != connections_.end()) connections_.erase(found);
+}
+
+void connection_pool::Retire(std::uint64_t id, monotonic_time now) {
+  if (Find(id) == nullptr) return;
+  OnClosed(id);
+  retired_.push_back(now + settings_.retired_hold);
+}
+
+std::optional<connection_pool::connection> connection_pool::PickForWork()
+    const {
+  const connection* best = nullptr;
+  for (const connection& each : connections_) {
+    if (each.state != use::kIdle) continue;
+    const bool better =
+        best == nullptr || (each.verified && !best->verified) ||
+        (each.verified == best->verified && each.last_work > best->last_work);
+    if (better) best = &each;
+  }
+  if (best == nullptr) return std::nullopt;
+  return *best;
+}
+
+std::optional<connection_pool::connection> connection_pool::PickForCheck()
+    const {
+  const connection* oldest = nullptr;
+  for (const connection& each : connections_) {
+    if (each.state != use::kIdle) continue;
+    const bool older =
+        oldest == nullptr || each.last_reply < oldest->last_reply;
+    if (older) oldest = &each;
+  }
+  if (oldest == nullptr) return std::nullopt;
+  return *oldest;
+}
+
+void connection_pool::OnBusy(std::uint64_t id) {
+  connection* found = FindMutable(id);
+  if (found != nullptr) found->state = use::kBusy;
+}
+
+void connection_pool::OnIdle(std::uint64_t id, bool work, monotonic_time now) {
+  connection* found = FindMutable(id);
+  if (found == nullptr) return;
+  found->state = use::kIdle;
+  found->last_reply = now;
+  if (work) found->last_work = now;
+}
+
+void connection_pool::Verify(std::uint64_t id) {
+  connection* found = FindMutable(id);
+  if (found != nullptr) found->verified = true;
+}
+
+void connection_pool::UnverifyAllBut(std::uint64_t id) {
+  for (connection& each : connections_) each.verified = each.id == id;
+}
+
+std::optional<std::uint64_t> connection_pool::Surplus(
+    int wanted, monotonic_time now) const {
+  if (CountOpen() <= wanted + settings_.spare) return std::nullopt;
+  for (const connection& each : connections_) {
+    const bool idle = each.state == use::kIdle;
+    if (idle && now - each.last_work >= settings_.idle_limit) return each.id;
+  }
+  return std::nullopt;
+}
+
+const connection_pool::connection* connection_pool::Find(
+    std::uint64_t id) const {
+  for (const connection& each : connections_) {
+    if (each.id == id) return &each;
+  }
+  return nullptr;
+}
+
+int connection_pool::CountIdle() const {
+  return static_cast<int>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const connection& each) { return each.state == use::kIdle; }));
+}
+
+connection_pool::connection* connection_pool::FindMutable(std::uint64_t id) {
+  for (connection& each : connections_) {
+    if (each.id == id) return &each;
+  }
+  return nullptr;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/upstream_dispatcher.h
@@ -0,0 +1,184 @@
+#ifndef PAPAYAGLADE_COORDINATION_UPSTREAM_DISPATCHER_H_
+#define PAPAYAGLADE_COORDINATION_UPSTREAM_DISPATCHER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/class_queue.h"
+#include "coordination/connection_pool.h"
+#include "coordination/steward_standing.h"
+#include "coordination/upstream_control.h"
+#include "state/configuration.h"
+#include "state/events.h"
+#include "state/upstream_messages.h"
+
+namespace papayaglade {
+
+/// Everything a dispatcher decides by; the parts hold their own defaults.
+struct upstream_dispatcher_settings {
+  upstream_control_settings control;
+  class_queue_settings queue;
+  connection_pool_settings pool;
+  std::chrono::milliseconds connect_timeout{500};
+  std::chrono::milliseconds health_period{1000};
+  std::chrono::milliseconds health_timeout{500};
+  /// Longest wait between probes of a silent upstream.
+  std::chrono::milliseconds longest_probe_wait{5000};
+  /// A request is not written later than this after it was admitted.
+  std::chrono::milliseconds longest_handling{50};
+};
+
+/// Carries out what a dispatcher decides; implemented by the stewards duty.
+class dispatch_port {
+ public:
+  virtual ~dispatch_port() = default;
+  virtual monotonic_time Now() const = 0;
+  /// An id that this process never used before.
+  virtual std::uint64_t NextId() = 0;
+  virtual bool Open(const open_connection& command) = 0;
+  virtual void Close(std::uint64_t connection_id) = 0;
+  /// False when nothing was or will be sent. `not_after` bounds the writing.
+  virtual bool SendWork(std::uint64_t connection_id, std::uint64_t exchange_id,
+                        const queued_attempt& attempt, monotonic_time now,
+                        monotonic_time not_after) = 0;
+  virtual bool SendCancel(std::uint64_t connection_id,
+                          std::uint64_t exchange_id,
+                          const std::vector<queued_attempt>& attempts) = 0;
+  virtual bool SendHealth(std::uint64_t connection_id,
+                          std::uint64_t exchange_id) = 0;
+  virtual void Finish(const queued_attempt& attempt, shard_result result) = 0;
+};
+
+/// One upstream at its steward: admits, sends, counts and finishes work.
+class upstream_dispatcher {
+ public:
+  enum class exchange_kind { kWork, kCancel, kHealth };
+
+  /// What operators see of one upstream.
+  struct summary {
+    steward_phase phase = steward_phase::kUnknown;
+    phase_cause cause = phase_cause::kNone;
+    int limit = 0;
+    int in_flight = 0;
+    int unproven = 0;
+    int connections = 0;
+    int retired_connections = 0;
+    std::size_t queued = 0;
+    shard_reason blocked = shard_reason::kNone;  ///< Why no new work goes.
+  };
+
+  /// `standing` and `port` must outlive the dispatcher.
+  upstream_dispatcher(upstream_definition definition,
+                      const upstream_dispatcher_settings& settings,
+                      const steward_standing& standing, dispatch_port& port,
+                      std::uint64_t seed);
+
+  void Enqueue(queued_attempt attempt);
+  /// Withdraws an attempt wherever it is; false when it is not here.
+  bool Cancel(const attempt_key& key);
+
+  void OnOpened(std::uint64_t connection_id);
+  void OnFailed(const connection_failed& event);
+  /// What kind of exchange a reply belongs to; nothing when it is too late.
+  std::optional<exchange_kind> KindOf(std::uint64_t exchange_id) const;
+  void OnWorkReply(const exchange_reply& event, upstream_reply reply);
+  /// `health` is absent when the reply could not be understood.
+  void OnHealthReply(const exchange_reply& event,
+                     const std::optional<upstream_health>& health);
+  /// The attempts of a cancel exchange, to match with what has ended.
+  std::vector<queued_attempt> CancelledBy(std::uint64_t exchange_id) const;
+  void OnCancelReply(const exchange_reply& event,
+                     const std::vector<attempt_key>& ended);
+  void OnTick();
+
+  /// The standing, the order or the definition may have changed.
+  void OnStandingChanged();
+  void SetDataCentreOut(bool out);
+  void SetDefinition(const upstream_definition& definition);
+
+  /// Ends the stewardship here; nothing new is sent until a later roster
+  /// names this instance again.
+  upstream_state Release();
+  void Adopt(const upstream_state& state);
+
+  /// Sends what may go now and keeps the pool filled.
+  void Pump();
+
+  /// Nothing waits here and every exchange of work has its end reported.
+  bool Idle() const;
+  summary Summary() const;
+  const upstream_definition& Definition() const { return definition_; }
+  std::size_t Queued(request_class priority) const {
+    return queue_.Size(priority);
+  }
+
+ private:
+  struct exchange {
+    std::uint64_t id = 0;
+    std::uint64_t connection_id = 0;
+    exchange_kind kind = exchange_kind::kWork;
+    queued_attempt work;                    ///< With kWork.
+    std::vector<queued_attempt> cancelled;  ///< With kCancel.
+    monotonic_time sent;
+    monotonic_time due;     ///< A reply later than this is late.
+    bool reported = false;  ///< Its end was reported to the entry instance.
+    bool ended = false;     ///< The upstream acknowledged its cancellation.
+  };
+
+  std::optional<shard_reason> Blocked(monotonic_time now) const;
+  std::optional<shard_reason> BlockedByPhase() const;
+  void SendNext(const connection_pool::connection& connection,
+                queued_attempt attempt, monotonic_time now);
+  bool CanMeetDeadline(const queued_attempt& attempt, monotonic_time now) const;
+  void RefuseAll(shard_reason reason);
+  void Refuse(const queued_attempt& attempt, shard_reason reason);
+  void ReportLost(exchange& lost, shard_reason reason);
+  void FinishWork(const exchange& done, upstream_reply reply,
+                  std::chrono::microseconds took);
+  void OnWorkBroken(exchange lost, const connection_failed& event);
+  void OnConnectionLost(const connection_failed& event, bool opening,
+                        monotonic_time now);
+  bool WantsConnections() const;
+  void MaintainPool(monotonic_time now);
+  void CloseIdle();
+  void DropConnection(std::uint64_t connection_id);
+  void Finished(const exchange_reply& event, const exchange& done,
+                monotonic_time now);
+  void NoteCloseSign(monotonic_time now);
+  void NoteReset(bool busy, monotonic_time now);
+  void CheckOverdue(monotonic_time now);
+  void OnOverdueWork(exchange& late, monotonic_time now);
+  void OnOverdueCheck(const exchange& late, monotonic_time now);
+  void DropEndedCancels(monotonic_time now);
+  void SendCancels();
+  void PollHealth(monotonic_time now);
+  exchange* Find(std::uint64_t exchange_id);
+  exchange* FindOn(std::uint64_t connection_id);
+  exchange Take(std::uint64_t exchange_id);
+
+  upstream_definition definition_;
+  upstream_dispatcher_settings settings_;
+  const steward_standing& standing_;
+  dispatch_port& port_;
+  upstream_control control_;
+  class_queue queue_;
+  connection_pool pool_;
+  std::vector<exchange> exchanges_;  // As many as busy connections.
+  std::vector<queued_attempt> cancels_;
+  bool held_ = false;
+  bool out_ = false;
+  std::optional<std::uint64_t> released_at_epoch_;
+  monotonic_time last_reply_{};
+  monotonic_time health_due_{};
+  std::chrono::milliseconds probe_wait_;
+  int unanswered_checks_ = 0;
+  monotonic_time last_reset_{};
+  int resets_ = 0;
+  monotonic_time last_close_sign_{};
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_UPSTREAM_DISPATCHER_H_
--- a/src/protocol/upstream_codec.h
+++ b/src/protocol/upstream_codec.h
@@ -9,6 +9,7 @@
 
 #include "protocol/http_message.h"
 #include "state/shard_messages.h"
+#include "state/upstream_messages.h"
 
 namespace papayaglade {
 
@@ -23,34 +24,6 @@
   bool repeatable = true;
 };
 
-enum class upstream_verdict {
-  kAnswered,
-  kSnapshotGone,
-  kShed,       ///< Refused before running: overloaded.
-  kCold,       ///< Refused before running: in a cold start.
-  kLeaving,    ///< Refused before running: leaving.
-  kMalformed,  ///< The reply breaks the format; the request may have run.
-};
-
-/// An upstream's reply to a shard request.
-struct upstream_reply {
-  upstream_verdict verdict = upstream_verdict::kMalformed;
-  std::uint64_t snapshot = 0;
-  std::string incarnation;  ///< Changes when the upstream restarts.
-  std::vector<hit> hits;
-  std::vector<std::uint64_t> snapshots_held;
-};
-
-enum class upstream_phase { kWarm, kCold, kLeaving };
-
-/// An upstream's own word on its state; it lags or misleads.
-struct upstream_health {
-  upstream_phase phase = upstream_phase::kWarm;
-  std::string incarnation;
-  int in_flight = 0;
-  std::vector<std::uint64_t> snapshots;
-};
-
 /// Returns the identifier an upstream knows an attempt by.
 std::string AttemptName(const instance_identity& origin,
                         std::uint64_t attempt_id);
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -116,6 +116,8 @@
   std::string method;
   std::string target;
   std::string body;  ///< JSON text; may be empty.
+  /// Not written after this; then it fails as `kTimedOut` with nothing sent.
+  monotonic_time not_after = monotonic_time::max();
 };
 
 using upstream_command =
--- a/tests/standin/upstream_standin.cc
+++ b/tests/standin/upstream_standin.cc
@@ -26,7 +26,19 @@
 }
 
 http_response upstream_standin::Handle(const http_request& request) {
+  if (request.target == "/health") {
+    const json health = {{"state", "warm"},
+                         {"incarnation", "1"},
+                         {"in_flight", 0},
+                         {"slots", 1},
+                         {"snapshots", json::array()}};
+    return {200, "application/json", health.dump()};
+  }
   const json body = json::parse(request.body);
+  if (request.target == "/cancel") {
+    return {200, "application/json",
+            json({{"ended", body.at("attempts")}}).dump()};
+  }
   const auto shard = body.at("shard").get<std::string>();
   const auto query = body.at("query").get<std::string>();
   const json hits =
