--- a/src/app/roster_part.cc
+++ b/src/app/roster_part.cc
@@ -9,7 +9,7 @@
 
 roster_part::roster_part(control_context& context) : context_(context) {}
 
-void roster_part::OnTick(monotonic_time /*now*/) {
+void roster_part::OnTick(monotonic_time now) {
   const cluster_view& view = context_.View();
   if (view.config == nullptr || writing_) return;
   roster own;
@@ -21,6 +21,7 @@
                                   [this](const roster_member& each) {
                                     return each.identity == context_.Self();
                                   });
+  if (listed) SendStanding(own, now);
   if (listed && own.assignments.size() == OwnUpstreams().size()) return;
   Write(own, own.epoch);
 }
@@ -33,8 +34,8 @@
                                       return each.identity.name == self.name;
                                     }),
                      next.members.end());
-  next.members.push_back({self, context_.Settings().peers,
-                          context_.Settings().operators});
+  next.members.push_back(
+      {self, context_.Settings().peers, context_.Settings().operators});
   next.assignments.clear();
   const std::vector<std::string> upstreams = OwnUpstreams();
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
@@ -58,6 +59,17 @@
       });
 }
 
+void roster_part::SendStanding(const roster& own, monotonic_time now) {
+  standing_update standing;
+  standing.roster_epoch = own.epoch;
+  standing.proven_until = now + context_.Settings().coordination.lease;
+  for (const steward_assignment& each : own.assignments) {
+    if (each.steward != context_.Self().name) continue;
+    standing.upstreams.push_back(each.upstream);
+  }
+  context_.SendToStewards(standing);
+}
+
 std::vector<std::string> roster_part::OwnUpstreams() const {
   std::vector<std::string> upstreams;
   for (const service_definition& service : context_.View().config->services) {
