Serve slower while cold in the stand-in, as a cold index does

An upstream that is cold but as fast as a warm one gives its sender no sign to go by but time; a cold cache is slow. cold_times (default 3) says how much. Also lets new-work go by the last order on the upstream's data centre.

--- a/tests/scenarios/runner/expectations.py
+++ b/tests/scenarios/runner/expectations.py
@@ -233,8 +233,11 @@
             raise Failure("work at other upstreams meanwhile", "none for 1 s")
 
     def expect_new_work(self, words, _, bound_s):
-        """expect new-work UPSTREAM: some arrives after the last command"""
-        start = self.steps.command_times[words[0]]
+        """expect new-work UPSTREAM: some arrives after the last command on it
+        or on its data centre"""
+        centre = self.topology.upstreams[words[0]]["centre"]
+        times = self.steps.command_times
+        start = max(times.get(words[0], 0), times.get(centre, 0))
 
         def probe():
             arrived = self.system.upstream(words[0])["last_arrival_us"] / 1e6
--- a/tests/standin/upstream_profile.cc
+++ b/tests/standin/upstream_profile.cc
@@ -29,6 +29,7 @@
   Read(changes, "seed", seed);
   Read(changes, "warm_after_served", warm_after_served);
   ReadTime(changes, "warm_after_ms", warm_after_time);
+  Read(changes, "cold_times", cold_times);
   Read(changes, "starts_cold", starts_cold);
   Read(changes, "health_lies", health_lies);
   ReadTime(changes, "health_lag_ms", health_lag);
--- a/tests/standin/upstream_profile.h
+++ b/tests/standin/upstream_profile.h
@@ -24,6 +24,7 @@
   std::uint64_t seed = 1;
   std::uint64_t warm_after_served = 20;
   std::chrono::milliseconds warm_after_time{5000};
+  double cold_times = 3;  ///< A cold index serves this much slower.
   bool starts_cold = false;
   bool health_lies = false;  ///< /health always says warm and idle.
   std::chrono::milliseconds health_lag{0};
--- a/tests/standin/upstream_standin.cc
+++ b/tests/standin/upstream_standin.cc
@@ -291,9 +291,9 @@
   const bool straggles =
       profile_.straggler_one_in > 0 &&
       random_() % static_cast<std::uint64_t>(profile_.straggler_one_in) == 0;
-  if (!straggles) return usual;
-  return std::chrono::duration_cast<microseconds>(usual *
-                                                  profile_.straggler_times);
+  double times = straggles ? profile_.straggler_times : 1;
+  if (phase_ == phase::kCold) times *= profile_.cold_times;
+  return std::chrono::duration_cast<microseconds>(usual * times);
 }
 
 std::uint64_t upstream_standin::NewestSnapshot() const {
