Decide each query by a state machine at its entry instance

The thin router asked the first replica of every shard and answered whatever had come by the deadline. The router duty only carries out what the engine decides.

A fiber per request was ruled out: every result would cost a wake-up of its fiber, while the state machine handles all results of a message in one call.

--- /dev/null
+++ b/src/app/request_log.h
@@ -0,0 +1,41 @@
+#ifndef PAPAYAGLADE_APP_REQUEST_LOG_H_
+#define PAPAYAGLADE_APP_REQUEST_LOG_H_
+
+#include <chrono>
+#include <string>
+
+#include "coordination/metrics_sink.h"
+#include "coordination/query_account.h"
+#include "coordination/query_history.h"
+#include "state/caller_messages.h"
+#include "state/error.h"
+
+namespace papayaglade {
+
+/// Records finished requests for metrics and for `explain`.
+class request_log {
+ public:
+  explicit request_log(metrics_sink& metrics) : metrics_(metrics) {}
+
+  void Finished(const caller_request& request, const caller_outcome& outcome,
+                const attempt_counts& counts, request_class priority,
+                std::chrono::microseconds latency);
+  void Refused(const caller_request& request, const error& cause,
+               std::chrono::microseconds latency);
+  void SetOpen(std::size_t open);
+
+  /// JSON text; empty when the request is not among the last ones.
+  std::string Explain(const std::string& request_id) const;
+  std::size_t Kept() const { return history_.Size(); }
+
+ private:
+  void Count(const caller_request& request, const account& details,
+             const attempt_counts& counts);
+
+  metrics_sink& metrics_;
+  query_history history_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_APP_REQUEST_LOG_H_
--- a/src/app/router_duty.cc
+++ b/src/app/router_duty.cc
@@ -1,19 +1,19 @@
 #include "app/router_duty.h"
 
-#include <algorithm>
-#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
 #include <utility>
 
 namespace papayaglade {
 
 namespace {
 
-constexpr std::chrono::milliseconds kTickPeriod{5};
+// Due times wake the router by themselves; ticks only bound how long an idle
+// router goes without looking.
+constexpr std::chrono::milliseconds kTickPeriod{100};
 
-caller_outcome Refuse(error_kind kind, std::string field, std::string message,
-                      std::string remedy) {
-  return not_run{
-      {kind, std::move(field), std::move(message), std::move(remedy)}, {}};
+std::chrono::microseconds Since(monotonic_time start, monotonic_time now) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(now - start);
 }
 
 }  // namespace
@@ -23,14 +23,15 @@
                          peer_port& peers, platform_port& platform,
                          steward_ring& stewards, metrics_sink& metrics,
                          router_ring& inbox)
-    : settings_(settings),
-      self_(self),
+    : self_(self),
       timer_(timer),
       peers_(peers),
-      platform_(platform),
       stewards_(stewards),
-      metrics_(metrics),
-      inbox_(inbox) {}
+      inbox_(inbox),
+      engine_(self, settings.data_centre, settings.limits.requests_in_flight,
+              std::random_device{}()),
+      claims_(platform, settings.platform_timeout),
+      log_(metrics) {}
 
 router_duty::~router_duty() { Stop(); }
 
@@ -42,155 +43,159 @@
 
 void router_duty::Stop() {
   timer_.Cancel(subscription_);
+  stopping_ = true;
   inbox_.Close();
   thread_.Join();
 }
 
 void router_duty::Run() {
-  router_event event;
-  while (inbox_.Pop(event)) {
-    std::visit([this](auto& each) { Handle(each); }, event);
+  while (HandleNext()) {
+    engine_.OnTime(timer_.Now());
+    CarryOut();
+    ReportDrained();
   }
 }
 
-void router_duty::Handle(tick& event) {
-  std::vector<std::uint64_t> late;
-  for (const auto& each : queries_) {
-    if (each.second.deadline <= event.now) late.push_back(each.first);
-  }
-  for (const std::uint64_t query_id : late) Finish(query_id);
+bool router_duty::HandleNext() {
+  router_event event;
+  const std::optional<monotonic_time> due = engine_.NextDue();
+  const bool got =
+      due.has_value() ? inbox_.PopUntil(event, *due) : inbox_.Pop(event);
+  if (got) std::visit([this](auto& each) { Handle(each); }, event);
+  return got || !stopping_;
 }
 
-void router_duty::Handle(view_update& event) { view_ = event.view; }
+void router_duty::Handle(tick& /*event*/) { log_.SetOpen(callers_.size()); }
+
+void router_duty::Handle(view_update& event) {
+  engine_.SetView(event.view, timer_.Now());
+}
 
 void router_duty::Handle(caller_event& event) {
-  if (view_ == nullptr || view_->config == nullptr) {
-    return event.reply(Refuse(error_kind::kUnavailable, "",
-                              "no configuration is in force yet",
-                              "ask another instance or try again"));
-  }
-  const service_definition* service = nullptr;
-  const workload* work = nullptr;
-  for (const service_definition& each : view_->config->services) {
-    for (const workload& candidate : each.workloads) {
-      if (candidate.name != event.request.workload) continue;
-      service = &each;
-      work = &candidate;
-    }
-  }
-  const partition_map* map = nullptr;
-  for (const service_snapshots& each : view_->snapshots) {
-    const bool wanted = service != nullptr && each.service == service->name;
-    if (wanted && !each.snapshots.empty()) map = &each.snapshots.front();
-  }
-  if (work == nullptr || map == nullptr) {
-    return event.reply(Refuse(error_kind::kUnknownName, "/workload",
-                              "unknown workload or no snapshot",
-                              "name a workload of the configuration in force"));
-  }
-  const std::uint64_t query_id = last_attempt_ + 1;
-  open_query query;
-  query.event = event;
-  query.deadline =
-      event.arrival + event.request.deadline.value_or(work->deadline);
-  query.first_attempt = query_id;
-  query.details.request_id = event.request.request_id;
-  query.details.workload = work->name;
-  query.details.snapshot = map->snapshot;
-  std::map<std::string, shard_batch> batches;
-  for (const shard_placement& shard : map->shards) {
-    const std::uint64_t attempt_id = ++last_attempt_;
-    const std::string upstream = shard.replicas.front();
-    query.details.shards.push_back({shard.shard, shard_outcome::kLate,
-                                    shard_reason::kDeadline, upstream, 1,
-                                    std::chrono::microseconds(0)});
-    query_of_attempt_[attempt_id] = query_id;
-    batches[StewardOf(upstream)].attempts.push_back(
-        {attempt_id, shard.shard, upstream});
-  }
-  query.waiting = map->shards.size();
-  const monotonic_time deadline = query.deadline;
-  queries_.emplace(query_id, std::move(query));
-  for (auto& each : batches) {
-    shard_batch& batch = each.second;
-    batch.origin = self_;
-    batch.request_id = event.request.request_id;
-    batch.service = service->name;
-    batch.workload = work->name;
-    batch.caller = event.request.caller;
-    batch.priority = work->priority;
-    batch.repeatable = work->repeatable;
-    batch.snapshot = map->snapshot;
-    batch.query = event.request.query;
-    SendBatch(each.first, std::move(batch), deadline);
+  const monotonic_time now = timer_.Now();
+  auto opened = engine_.Open(event.request, event.arrival, now);
+  if (auto* cause = std::get_if<error>(&opened)) {
+    log_.Refused(event.request, *cause, Since(event.arrival, now));
+    account details;
+    details.request_id = event.request.request_id;
+    details.workload = event.request.workload;
+    return event.reply(not_run{std::move(*cause), std::move(details)});
   }
+  callers_.emplace(std::get<std::uint64_t>(opened), std::move(event));
 }
 
 void router_duty::Handle(results_event& event) {
-  for (shard_result& result : event.results.results) {
-    const auto owner = query_of_attempt_.find(result.attempt_id);
-    if (owner == query_of_attempt_.end()) continue;
-    const std::uint64_t query_id = owner->second;
-    query_of_attempt_.erase(owner);
-    open_query& query = queries_.at(query_id);
-    shard_account& line =
-        query.details.shards.at(result.attempt_id - query.first_attempt);
-    line.reason = result.reason;
-    line.time = result.queue_time + result.upstream_time;
-    line.outcome = result.status == shard_status::kAnswered
-                       ? shard_outcome::kAnswered
-                       : shard_outcome::kRefused;
-    std::move(result.hits.begin(), result.hits.end(),
-              std::back_inserter(query.hits));
-    if (--query.waiting == 0) Finish(query_id);
-  }
+  engine_.OnResults(event.results, timer_.Now());
 }
 
-void router_duty::Handle(peer_link_event& /*event*/) {}
+void router_duty::Handle(peer_link_event& event) {
+  engine_.OnStewardLink(event.peer.name,
+                        event.state == peer_link_event::link_state::kUp,
+                        timer_.Now());
+}
 
-void router_duty::Handle(platform_event& /*event*/) {}
+void router_duty::Handle(platform_event& event) {
+  const std::optional<claim_answer> answer = claims_.Take(event.reply);
+  if (!answer.has_value()) return;
+  engine_.OnClaim(answer->query, answer->reply, timer_.Now());
+}
 
-void router_duty::Handle(status_query& event) { event.reply("{}"); }
+void router_duty::Handle(status_query& event) {
+  nlohmann::json workloads = nlohmann::json::object();
+  for (const workload_status& each : engine_.Workloads()) {
+    workloads[each.workload] = {
+        {"hedge_delay_us",
+         each.hedge_delay.value_or(std::chrono::microseconds(0)).count()}};
+  }
+  const nlohmann::json status = {{"queries_open", callers_.size()},
+                                 {"requests_kept", log_.Kept()},
+                                 {"workloads", std::move(workloads)}};
+  event.reply(status.dump());
+}
 
-void router_duty::Handle(explain_query& event) { event.reply(""); }
+void router_duty::Handle(explain_query& event) {
+  event.reply(log_.Explain(event.request_id));
+}
 
-void router_duty::Handle(drain_event& event) { event.done(); }
+void router_duty::Handle(drain_event& event) {
+  drained_.push_back(std::move(event.done));
+}
 
-std::string router_duty::StewardOf(const std::string& upstream) const {
-  for (const roster& each : view_->rosters) {
-    for (const steward_assignment& assignment : each.assignments) {
-      if (assignment.upstream == upstream) return assignment.steward;
+void router_duty::CarryOut() {
+  // Carrying out may fail and so decide more, until nothing is left to do.
+  for (auto actions = engine_.TakeActions(); !actions.empty();
+       actions = engine_.TakeActions()) {
+    for (engine_action& each : actions) {
+      std::visit([&](auto& action) { Perform(each.query, action); },
+                 each.action);
     }
   }
-  return "";
 }
 
-void router_duty::SendBatch(const std::string& steward, shard_batch batch,
-                            monotonic_time deadline) {
-  batch.time_left = std::chrono::duration_cast<std::chrono::microseconds>(
-      deadline - timer_.Now());
-  if (steward == self_.name) {
-    stewards_.TryPush(batch_event{std::move(batch), deadline});
-  } else if (!steward.empty()) {
-    peers_.Send(steward, std::move(batch));
+void router_duty::Perform(std::uint64_t /*query*/, send_batch& action) {
+  std::vector<std::uint64_t> ids;
+  ids.reserve(action.batch.attempts.size());
+  for (const shard_attempt& each : action.batch.attempts) {
+    ids.push_back(each.attempt_id);
+  }
+  if (Deliver(action.steward, action)) return;
+  shard_results refused;
+  for (const std::uint64_t id : ids) {
+    shard_result result;
+    result.attempt_id = id;
+    result.status = shard_status::kNotRun;
+    result.reason = shard_reason::kPeerUnreachable;
+    refused.results.push_back(std::move(result));
   }
+  engine_.OnResults(refused, timer_.Now());
 }
 
-void router_duty::Finish(std::uint64_t query_id) {
-  open_query query = std::move(queries_.at(query_id));
-  queries_.erase(query_id);
-  std::size_t covered = 0;
-  for (const shard_account& line : query.details.shards) {
-    if (line.outcome == shard_outcome::kAnswered) ++covered;
+bool router_duty::Deliver(const std::string& steward, send_batch& action) {
+  if (steward == self_.name) {
+    return stewards_.TryPush(
+        batch_event{std::move(action.batch), action.deadline});
   }
-  for (std::size_t i = 0; i < query.details.shards.size(); ++i) {
-    query_of_attempt_.erase(query.first_attempt + i);
+  return peers_.Send(steward, std::move(action.batch));
+}
+
+void router_duty::Perform(std::uint64_t /*query*/, cancel_attempts& action) {
+  // A cancellation that gets lost costs its upstream the rest of one request,
+  // which ends at its own deadline.
+  shard_cancel cancel{self_, std::move(action.attempt_ids)};
+  if (action.steward == self_.name) {
+    stewards_.TryPush(cancel_event{std::move(cancel)});
+  } else {
+    peers_.Send(action.steward, std::move(cancel));
   }
-  query.details.coverage = static_cast<double>(covered) /
-                           static_cast<double>(query.details.shards.size());
-  std::sort(query.hits.begin(), query.hits.end(),
-            [](const hit& a, const hit& b) { return a.score > b.score; });
-  query.event.reply(answered{std::move(query.hits), query.details});
+}
+
+void router_duty::Perform(std::uint64_t query, settle_request& action) {
+  const auto found = callers_.find(query);
+  if (found == callers_.end()) return;
+  const caller_event caller = std::move(found->second);
+  callers_.erase(found);
+  log_.Finished(caller.request, action.outcome, action.counts, action.priority,
+                Since(caller.arrival, timer_.Now()));
+  caller.reply(std::move(action.outcome));
+}
+
+void router_duty::Perform(std::uint64_t query, write_claim& action) {
+  if (claims_.Write(query, action)) return;
+  claim_reply reply;
+  reply.status = platform_status::kRejected;
+  engine_.OnClaim(query, reply, timer_.Now());
+}
+
+void router_duty::Perform(std::uint64_t query, read_claim& action) {
+  if (claims_.Read(query, action)) return;
+  claim_reply reply;
+  reply.status = platform_status::kRejected;
+  engine_.OnClaim(query, reply, timer_.Now());
+}
+
+void router_duty::ReportDrained() {
+  if (drained_.empty() || engine_.OpenCount() > 0) return;
+  for (const auto& done : std::exchange(drained_, {})) done();
 }
 
 }  // namespace papayaglade
--- a/src/app/router_duty.h
+++ b/src/app/router_duty.h
@@ -1,20 +1,26 @@
 #ifndef PAPAYAGLADE_APP_ROUTER_DUTY_H_
 #define PAPAYAGLADE_APP_ROUTER_DUTY_H_
 
-#include <memory>
+#include <atomic>
+#include <functional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
+#include "app/claim_calls.h"
 #include "app/duty_thread.h"
+#include "app/request_log.h"
 #include "coordination/metrics_sink.h"
 #include "coordination/ports.h"
+#include "coordination/query_engine.h"
 #include "coordination/timer_service.h"
 #include "state/events.h"
 #include "state/instance_settings.h"
 
 namespace papayaglade {
 
-/// The router duty: plans each caller's request, asks stewards, answers.
+/// The router duty: feeds events to the query engine and carries out what it
+/// decides.
 class router_duty {
  public:
   router_duty(const instance_settings& settings, const instance_identity& self,
@@ -27,16 +33,9 @@
   void Stop();
 
  private:
-  struct open_query {
-    caller_event event;
-    monotonic_time deadline;
-    account details;
-    std::vector<hit> hits;
-    std::size_t waiting = 0;
-    std::size_t first_attempt = 0;
-  };
-
   void Run();
+  /// False once the ring is closed.
+  bool HandleNext();
   void Handle(tick& event);
   void Handle(view_update& event);
   void Handle(caller_event& event);
@@ -47,25 +46,28 @@
   void Handle(explain_query& event);
   void Handle(drain_event& event);
 
-  std::string StewardOf(const std::string& upstream) const;
-  void SendBatch(const std::string& steward, shard_batch batch,
-                 monotonic_time deadline);
-  void Finish(std::uint64_t query_id);
+  void CarryOut();
+  void Perform(std::uint64_t query, send_batch& action);
+  void Perform(std::uint64_t query, cancel_attempts& action);
+  void Perform(std::uint64_t query, settle_request& action);
+  void Perform(std::uint64_t query, write_claim& action);
+  void Perform(std::uint64_t query, read_claim& action);
+  bool Deliver(const std::string& steward, send_batch& action);
+  void ReportDrained();
 
-  instance_settings settings_;
-  instance_identity self_;
+  const instance_identity self_;
   timer_service& timer_;
   peer_port& peers_;
-  platform_port& platform_;
   steward_ring& stewards_;
-  metrics_sink& metrics_;
   router_ring& inbox_;
+  query_engine engine_;
+  claim_calls claims_;
+  request_log log_;
   duty_thread thread_;
+  std::atomic<bool> stopping_{false};
   timer_service::subscription subscription_ = 0;
-  std::shared_ptr<const cluster_view> view_;
-  std::uint64_t last_attempt_ = 0;
-  std::unordered_map<std::uint64_t, open_query> queries_;
-  std::unordered_map<std::uint64_t, std::uint64_t> query_of_attempt_;
+  std::unordered_map<std::uint64_t, caller_event> callers_;
+  std::vector<std::function<void()>> drained_;
 };
 
 }  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/hedge_estimator.cc
@@ -0,0 +1,43 @@
+#include "coordination/hedge_estimator.h"
+
+namespace papayaglade {
+
+namespace {
+
+constexpr unsigned kBins = 160;  // Each bin is about 11 % wider than the last.
+constexpr double kShortestUs = 10.0;
+constexpr double kLongestUs = 100'000'000.0;
+constexpr double kLeastWeight = 200.0;
+constexpr std::size_t kFadePeriod = 4096;
+constexpr double kFadeFactor = 0.5;
+
+}  // namespace
+
+hedge_estimator::hedge_estimator()
+    : times_(boost::histogram::make_histogram_with(
+          std::vector<double>(), time_axis(kBins, kShortestUs, kLongestUs))) {}
+
+void hedge_estimator::Learn(std::chrono::microseconds time) {
+  times_(static_cast<double>(time.count()));
+  weight_ += 1.0;
+  if (++since_fade_ < kFadePeriod) return;
+  since_fade_ = 0;
+  times_ *= kFadeFactor;
+  weight_ *= kFadeFactor;
+}
+
+std::optional<std::chrono::microseconds> hedge_estimator::Percentile(
+    double percentile) const {
+  if (weight_ < kLeastWeight) return std::nullopt;
+  const double wanted = percentile * weight_;
+  double seen = times_.at(-1);
+  for (int bin = 0; bin < times_.axis().size(); ++bin) {
+    seen += times_.at(bin);
+    if (seen < wanted) continue;
+    const double upper = times_.axis().bin(bin).upper();
+    return std::chrono::microseconds(static_cast<std::int64_t>(upper));
+  }
+  return std::chrono::microseconds(static_cast<std::int64_t>(kLongestUs));
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/merge.h
@@ -0,0 +1,17 @@
+#ifndef PAPAYAGLADE_COORDINATION_MERGE_H_
+#define PAPAYAGLADE_COORDINATION_MERGE_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "state/shard_messages.h"
+
+namespace papayaglade {
+
+/// Returns the `most` best hits by score, best first; of hits with the same
+/// key only the best stays. Equal scores are ordered by key.
+std::vector<hit> MergeHits(std::vector<hit> hits, std::size_t most);
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_MERGE_H_
--- /dev/null
+++ b/src/coordination/query_account.cc
@@ -0,0 +1,57 @@
+#include "coordination/query_account.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace papayaglade {
+
+namespace {
+
+constexpr double kPercent = 100.0;
+
+std::string PercentText(double share) {
+  const auto tenths = static_cast<int>(share * kPercent * 10);
+  return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + " %";
+}
+
+shard_reason CommonestReason(const account& details) {
+  std::map<shard_reason, int> counts;
+  for (const shard_account& line : details.shards) {
+    if (line.outcome != shard_outcome::kAnswered) ++counts[line.reason];
+  }
+  const auto most = std::max_element(
+      counts.begin(), counts.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return most == counts.end() ? shard_reason::kNone : most->first;
+}
+
+}  // namespace
+
+double ShareOf(std::size_t part, std::size_t whole) {
+  if (whole == 0) return 0;
+  return static_cast<double>(part) / static_cast<double>(whole);
+}
+
+error NoSnapshotError() {
+  return {error_kind::kUnavailable, "/workload",
+          "the service of this workload has no index snapshot",
+          "try again when the index pipeline has published a snapshot"};
+}
+
+error ShortfallError(const account& details, double minimum,
+                     bool may_have_run) {
+  const std::string message =
+      "covered " + PercentText(details.coverage) + " of the shards, needs " +
+      PercentText(minimum) +
+      "; most of the rest: " + ShardReasonName(CommonestReason(details));
+  if (may_have_run) {
+    return {error_kind::kBelowCoverage, "/minimum_coverage", message,
+            "ask again, allow more deadline_ms, or accept a lower "
+            "minimum_coverage"};
+  }
+  return {error_kind::kUnavailable, "", message,
+          "nothing ran: try again, or ask another instance"};
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/query_context.h
@@ -0,0 +1,41 @@
+#ifndef PAPAYAGLADE_COORDINATION_QUERY_CONTEXT_H_
+#define PAPAYAGLADE_COORDINATION_QUERY_CONTEXT_H_
+
+#include <memory>
+#include <random>
+
+#include "coordination/hedge_estimator.h"
+#include "coordination/name_index.h"
+#include "coordination/replica_tracker.h"
+#include "coordination/retry_budget.h"
+#include "coordination/routing_table.h"
+#include "coordination/snapshot_choice.h"
+#include "state/identity.h"
+
+namespace papayaglade {
+
+/// What the runs of one entry instance share: the newest routes and what was
+/// learnt from earlier requests.
+struct query_context {
+  instance_identity self;
+  std::shared_ptr<const routing_table> routes;
+  name_index upstreams;
+  name_index stewards;
+  replica_tracker replicas;
+  snapshot_choice snapshots;
+  std::mt19937_64 random;
+};
+
+/// What the runs of one workload share.
+struct workload_state {
+  explicit workload_state(double extra_load);
+
+  hedge_estimator times;
+  retry_budget extra_load;  ///< Retries and hedges that reach an upstream.
+  /// Retries of attempts that provably cost no upstream anything.
+  retry_budget reroutes;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_QUERY_CONTEXT_H_
--- /dev/null
+++ b/src/coordination/query_engine.h
@@ -0,0 +1,92 @@
+#ifndef PAPAYAGLADE_COORDINATION_QUERY_ENGINE_H_
+#define PAPAYAGLADE_COORDINATION_QUERY_ENGINE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "coordination/query_action.h"
+#include "coordination/query_context.h"
+#include "coordination/query_run.h"
+#include "coordination/single_run.h"
+
+namespace papayaglade {
+
+/// An action of one open request.
+struct engine_action {
+  std::uint64_t query = 0;
+  query_action action;
+};
+
+/// What is known of one workload, for operators.
+struct workload_status {
+  std::string workload;
+  std::optional<std::chrono::microseconds> hedge_delay;
+};
+
+/// All open requests of one entry instance, without I/O: events go in, actions
+/// come out of TakeActions.
+class query_engine {
+ public:
+  query_engine(const instance_identity& self, std::string data_centre,
+               std::size_t most_open, std::uint64_t seed);
+
+  void SetView(const std::shared_ptr<const cluster_view>& view,
+               monotonic_time now);
+
+  /// Accepts a request, or tells why it was not: then nothing ran. The number
+  /// of an accepted request tags its actions.
+  std::variant<std::uint64_t, error> Open(caller_request request,
+                                          monotonic_time arrival,
+                                          monotonic_time now);
+
+  void OnResults(shard_results& message, monotonic_time now);
+  void OnStewardLink(const std::string& steward, bool up, monotonic_time now);
+  void OnClaim(std::uint64_t query, const claim_reply& reply,
+               monotonic_time now);
+  void OnTime(monotonic_time now);
+
+  /// When OnTime has something to do next; nothing while no request is open.
+  std::optional<monotonic_time> NextDue() const;
+  std::size_t OpenCount() const { return open_.size(); }
+  std::vector<workload_status> Workloads() const;
+
+  std::vector<engine_action> TakeActions();
+
+ private:
+  using run = std::variant<query_run, single_run>;
+  struct open_request {
+    run state;
+    monotonic_time due;
+  };
+
+  template <typename Event>
+  void Apply(std::uint64_t query, monotonic_time now, const Event& event);
+  template <typename Event>
+  void ApplyToAll(monotonic_time now, const Event& event);
+  void AfterEvent(std::uint64_t query, open_request& request,
+                  monotonic_time now);
+  workload_state& StateOf(const workload& work);
+
+  query_context context_;
+  std::string data_centre_;
+  std::size_t most_open_;
+  std::uint64_t last_query_ = 0;
+  std::unordered_map<std::uint64_t, open_request> open_;
+  std::set<std::pair<monotonic_time, std::uint64_t>> due_;
+  std::map<std::string, std::unique_ptr<workload_state>> workloads_;
+  std::map<std::string, double> hedge_percentiles_;
+  std::vector<engine_action> actions_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_QUERY_ENGINE_H_
--- /dev/null
+++ b/src/coordination/query_history.cc
@@ -0,0 +1,36 @@
+#include "coordination/query_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaglade {
+
+namespace {
+
+// A line of an account takes about 150 bytes: 6 MB at most.
+constexpr std::size_t kMostLines = 40'000;
+constexpr std::size_t kMostRequests = 2'000;
+
+}  // namespace
+
+void query_history::Add(finished_request request) {
+  lines_ += request.details.shards.size();
+  requests_.push_back(std::move(request));
+  while (requests_.size() > 1 &&
+         (lines_ > kMostLines || requests_.size() > kMostRequests)) {
+    lines_ -= requests_.front().details.shards.size();
+    requests_.pop_front();
+  }
+}
+
+const finished_request* query_history::Find(
+    const std::string& request_id) const {
+  const auto found =
+      std::find_if(requests_.rbegin(), requests_.rend(),
+                   [&request_id](const finished_request& each) {
+                     return each.details.request_id == request_id;
+                   });
+  return found == requests_.rend() ? nullptr : &*found;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/query_run.h
@@ -0,0 +1,117 @@
+#ifndef PAPAYAGLADE_COORDINATION_QUERY_RUN_H_
+#define PAPAYAGLADE_COORDINATION_QUERY_RUN_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "coordination/outbox.h"
+#include "coordination/query_account.h"
+#include "coordination/query_action.h"
+#include "coordination/query_context.h"
+#include "coordination/query_spec.h"
+#include "coordination/replica_choice.h"
+#include "coordination/settle_rule.h"
+
+namespace papayaglade {
+
+/// One repeatable query at its entry instance, from its plan to its answer.
+/// A state machine without I/O: events go in by the methods below, and each
+/// event ends with Flush, which gives the actions to carry out.
+class query_run {
+ public:
+  query_run(query_spec spec, query_context& context, workload_state& learnt);
+
+  void Start(monotonic_time now);
+  void OnResult(shard_result& result, monotonic_time now);
+  /// The link to a steward is down: its attempts will not be answered.
+  void OnStewardDown(std::uint32_t steward, monotonic_time now);
+  /// The newest routes changed; attempts that waited for that are sent.
+  void OnRoutes(monotonic_time now);
+  void OnTime(monotonic_time now);
+  void Flush(monotonic_time now, query_actions& out);
+
+  /// The next time at which OnTime has something to do.
+  monotonic_time NextDue() const;
+  bool IsOver() const { return settled_; }
+  const attempt_counts& Counts() const { return counts_; }
+
+ private:
+  enum class shard_phase { kOpen, kWaiting, kAnswered, kFailed };
+
+  struct attempt {
+    std::uint32_t shard = 0;
+    std::uint32_t upstream = 0;
+    std::uint32_t steward = 0;
+    monotonic_time sent;
+    bool open = true;
+  };
+  struct shard_state {
+    shard_phase phase = shard_phase::kOpen;
+    shard_outcome outcome = shard_outcome::kNotAsked;
+    shard_reason reason = shard_reason::kNone;
+    std::vector<std::uint32_t> tried;  ///< Upstreams, the last asked last.
+    int attempts = 0;
+    int outstanding = 0;
+    bool hedged = false;
+    bool may_have_run = false;
+    std::uint32_t answered_by = 0;
+    std::size_t last_attempt = 0;
+    monotonic_time first_sent;
+    monotonic_time ended;
+  };
+
+  /// Asks every shard of the pinned snapshot; returns how many were asked.
+  std::size_t Begin(monotonic_time now);
+  replica_pick Pick(std::size_t shard, monotonic_time now);
+  void Ask(std::size_t shard, std::uint32_t upstream, monotonic_time now);
+  /// Asks another replica if there is one and `budget` pays for it.
+  bool AskAgain(std::size_t shard, retry_budget& budget, monotonic_time now);
+  void Withdraw(std::size_t ordinal, monotonic_time now);
+  void WithdrawAll(monotonic_time now);
+  void WithdrawShard(std::size_t shard, monotonic_time now);
+
+  void OnAnswer(const attempt& ended, shard_result& result, monotonic_time now);
+  void OnRefusal(const attempt& ended, shard_reason reason, monotonic_time now);
+  void OnLoss(const attempt& ended, shard_reason reason, monotonic_time now);
+  void OnMissingSnapshot(const attempt& ended, const shard_result& result,
+                         monotonic_time now);
+  bool LastStewardChanged(const shard_state& shard) const;
+  void Close(std::size_t shard, shard_outcome outcome, shard_reason reason,
+             monotonic_time now);
+
+  void Hedge(monotonic_time now);
+  bool TryRestart(monotonic_time now);
+  void Judge(monotonic_time now);
+  void Settle(monotonic_time now);
+  account MakeAccount() const;
+  shard_account AccountOf(std::size_t index) const;
+
+  query_spec spec_;
+  query_context& context_;
+  workload_state& learnt_;
+  settle_rule rule_;
+  std::shared_ptr<const snapshot_plan> pinned_;
+  std::vector<attempt> attempts_;
+  std::size_t first_of_pinned_ = 0;  ///< Older attempts are of older pins.
+  std::vector<shard_state> shards_;
+  std::vector<hit> hits_;
+  outbox outbox_;
+  std::size_t answered_ = 0;
+  std::size_t unfinished_ = 0;
+  std::size_t missing_ = 0;  ///< Shards without a replica for the snapshot.
+  attempt_counts counts_;
+  monotonic_time began_;
+  monotonic_time last_now_;
+  std::optional<std::chrono::microseconds> hedge_delay_;
+  std::optional<monotonic_time> next_hedge_;
+  std::optional<caller_outcome> outcome_;
+  bool settled_ = false;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_QUERY_RUN_H_
--- /dev/null
+++ b/src/coordination/replica_choice.h
@@ -0,0 +1,28 @@
+#ifndef PAPAYAGLADE_COORDINATION_REPLICA_CHOICE_H_
+#define PAPAYAGLADE_COORDINATION_REPLICA_CHOICE_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "coordination/query_context.h"
+#include "state/shard_messages.h"
+
+namespace papayaglade {
+
+/// The replica to ask, or why none can be asked.
+struct replica_pick {
+  std::optional<std::uint32_t> upstream;
+  shard_reason reason = shard_reason::kNone;
+};
+
+/// Chooses among `replicas` that are not in `tried`: own data centre first,
+/// then the less loaded of two picked at random.
+replica_pick ChooseReplica(const std::vector<std::uint32_t>& replicas,
+                           const std::vector<std::uint32_t>& tried,
+                           std::uint64_t snapshot, query_context& context,
+                           monotonic_time now);
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_REPLICA_CHOICE_H_
--- /dev/null
+++ b/src/coordination/replica_tracker.cc
@@ -0,0 +1,68 @@
+#include "coordination/replica_tracker.h"
+
+namespace papayaglade {
+
+namespace {
+
+constexpr double kNewSampleShare = 0.1;
+
+}  // namespace
+
+void replica_tracker::Sent(std::uint32_t upstream) {
+  ++Slot(upstream).in_flight;
+}
+
+void replica_tracker::Ended(std::uint32_t upstream) {
+  --Slot(upstream).in_flight;
+}
+
+void replica_tracker::Answered(std::uint32_t upstream,
+                               std::chrono::microseconds time) {
+  upstream_state& state = Slot(upstream);
+  --state.in_flight;
+  const auto sample = static_cast<double>(time.count());
+  const bool first = state.time_us == 0;
+  state.time_us =
+      first ? sample
+            : state.time_us + kNewSampleShare * (sample - state.time_us);
+}
+
+void replica_tracker::Avoid(std::uint32_t upstream, monotonic_time until) {
+  Slot(upstream).avoid_until = until;
+}
+
+bool replica_tracker::IsAvoided(std::uint32_t upstream,
+                                monotonic_time now) const {
+  return upstream < upstreams_.size() && now < upstreams_[upstream].avoid_until;
+}
+
+void replica_tracker::SetStewardDown(std::uint32_t steward,
+                                     monotonic_time until) {
+  if (steward >= steward_down_until_.size()) {
+    steward_down_until_.resize(steward + 1);
+  }
+  steward_down_until_[steward] = until;
+}
+
+void replica_tracker::SetStewardUp(std::uint32_t steward) {
+  SetStewardDown(steward, monotonic_time());
+}
+
+bool replica_tracker::IsStewardDown(std::uint32_t steward,
+                                    monotonic_time now) const {
+  return steward < steward_down_until_.size() &&
+         now < steward_down_until_[steward];
+}
+
+double replica_tracker::LoadOf(std::uint32_t upstream) const {
+  if (upstream >= upstreams_.size()) return 0;
+  const upstream_state& state = upstreams_[upstream];
+  return (state.in_flight + 1) * (state.time_us + 1.0);
+}
+
+replica_tracker::upstream_state& replica_tracker::Slot(std::uint32_t upstream) {
+  if (upstream >= upstreams_.size()) upstreams_.resize(upstream + 1);
+  return upstreams_[upstream];
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/replica_tracker.h
@@ -0,0 +1,47 @@
+#ifndef PAPAYAGLADE_COORDINATION_REPLICA_TRACKER_H_
+#define PAPAYAGLADE_COORDINATION_REPLICA_TRACKER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "state/time.h"
+
+namespace papayaglade {
+
+/// What this entry instance has learnt of upstreams and of the way to their
+/// stewards from its own requests.
+class replica_tracker {
+ public:
+  void Sent(std::uint32_t upstream);
+  /// The attempt ended without an answer to learn from.
+  void Ended(std::uint32_t upstream);
+  void Answered(std::uint32_t upstream, std::chrono::microseconds time);
+
+  /// Prefers other replicas until `until`.
+  void Avoid(std::uint32_t upstream, monotonic_time until);
+  bool IsAvoided(std::uint32_t upstream, monotonic_time now) const;
+
+  void SetStewardDown(std::uint32_t steward, monotonic_time until);
+  void SetStewardUp(std::uint32_t steward);
+  bool IsStewardDown(std::uint32_t steward, monotonic_time now) const;
+
+  /// Expected wait at the upstream, in comparable units.
+  double LoadOf(std::uint32_t upstream) const;
+
+ private:
+  struct upstream_state {
+    int in_flight = 0;
+    double time_us = 0;  ///< Moving average.
+    monotonic_time avoid_until;
+  };
+
+  upstream_state& Slot(std::uint32_t upstream);
+
+  std::vector<upstream_state> upstreams_;
+  std::vector<monotonic_time> steward_down_until_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_REPLICA_TRACKER_H_
--- /dev/null
+++ b/src/coordination/retry_budget.cc
@@ -0,0 +1,26 @@
+#include "coordination/retry_budget.h"
+
+#include <algorithm>
+
+namespace papayaglade {
+
+namespace {
+
+// Quiet hours must not save up a storm: what is kept covers the requests that
+// one lost steward had in flight, not more.
+constexpr double kMostKept = 256.0;
+
+}  // namespace
+
+void retry_budget::EarnFor(std::size_t first_attempts) {
+  const double earned = share_ * static_cast<double>(first_attempts);
+  balance_ = std::min(balance_ + earned, kMostKept);
+}
+
+bool retry_budget::TryTake() {
+  if (balance_ < 1.0) return false;
+  balance_ -= 1.0;
+  return true;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/single_run.h
@@ -0,0 +1,101 @@
+#ifndef PAPAYAGLADE_COORDINATION_SINGLE_RUN_H_
+#define PAPAYAGLADE_COORDINATION_SINGLE_RUN_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "coordination/outbox.h"
+#include "coordination/query_account.h"
+#include "coordination/query_action.h"
+#include "coordination/query_context.h"
+#include "coordination/query_spec.h"
+#include "coordination/settle_rule.h"
+
+namespace papayaglade {
+
+/// One request that may run once only, at its entry instance. It is sent to
+/// one upstream, one time. With a request key the platform's claim decides
+/// which instance sends it; see docs/design/non-repeatable-requests.md.
+class single_run {
+ public:
+  single_run(query_spec spec, query_context& context);
+
+  void Start(monotonic_time now);
+  void OnResult(shard_result& result, monotonic_time now);
+  void OnStewardDown(std::uint32_t steward, monotonic_time now);
+  void OnRoutes(monotonic_time now);
+  void OnClaim(const claim_reply& reply, monotonic_time now);
+  void OnTime(monotonic_time now);
+  void Flush(monotonic_time now, query_actions& out);
+
+  monotonic_time NextDue() const;
+  bool IsOver() const { return phase_ == run_phase::kOver; }
+  const attempt_counts& Counts() const { return counts_; }
+
+ private:
+  enum class run_phase {
+    kClaiming,   ///< Writing or reading back the own claim.
+    kMarking,    ///< Writing or reading back that the request is sent.
+    kFollowing,  ///< Waiting for the owner of the claim.
+    kInFlight,
+    kRecording,  ///< Writing the result into the claim.
+    kOver,
+  };
+
+  bool IsKeyed() const { return !spec_.request.request_key.empty(); }
+  bool IsOwn(const claim& value) const {
+    return value.attempt == attempt_name_;
+  }
+  bool ChooseUpstream(monotonic_time now);
+  void SendAttempt(monotonic_time now);
+  bool TakeAttempt();
+
+  void Claim(std::uint64_t expected_version);
+  void Write(claim_phase phase);
+  void Read();
+  void RetryLater(monotonic_time now);
+  void OnWritten(const claim_reply& reply, monotonic_time now);
+  void OnStored(const claim_reply& reply, monotonic_time now);
+  void OnOwnClaim(const claim& stored, monotonic_time now);
+  void Follow(const claim_reply& reply, monotonic_time now);
+  void OnRecorded(const claim_reply& reply, monotonic_time now);
+  void Record(claim_phase phase, caller_outcome outcome);
+
+  void Settle(caller_outcome outcome);
+  void SettleUnsent(error_kind kind, const std::string& message);
+  void SettleUnknown(const std::string& message);
+  void OnDeadline();
+  void Finish();
+  account MakeAccount(shard_outcome outcome, shard_reason reason) const;
+
+  query_spec spec_;
+  query_context& context_;
+  settle_rule rule_;
+  std::uint64_t attempt_id_;
+  std::string attempt_name_;
+  std::string shard_;
+  std::uint32_t upstream_ = 0;
+  std::uint32_t steward_ = 0;
+  bool sent_ = false;
+  bool attempt_open_ = false;
+  bool settled_ = false;
+  bool call_open_ = false;
+  monotonic_time sent_at_;
+  monotonic_time call_due_;
+  std::optional<monotonic_time> next_read_;
+  run_phase phase_ = run_phase::kClaiming;
+  claim own_;
+  std::uint64_t version_ = 0;
+  std::uint64_t followed_version_ = 0;
+  monotonic_time followed_since_;
+  int record_tries_ = 0;
+  attempt_counts counts_;
+  outbox outbox_;
+  query_actions actions_;
+  std::optional<caller_outcome> outcome_;  ///< Held while it is recorded.
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_SINGLE_RUN_H_
--- /dev/null
+++ b/src/coordination/snapshot_choice.h
@@ -0,0 +1,46 @@
+#ifndef PAPAYAGLADE_COORDINATION_SNAPSHOT_CHOICE_H_
+#define PAPAYAGLADE_COORDINATION_SNAPSHOT_CHOICE_H_
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/routing_table.h"
+#include "state/time.h"
+
+namespace papayaglade {
+
+/// Remembers which upstreams lack which snapshots, and chooses the snapshot
+/// that a query pins.
+class snapshot_choice {
+ public:
+  /// `upstream` said that it does not hold `missing` but holds `held`.
+  void LearnMissing(std::uint32_t upstream, std::uint64_t missing,
+                    const std::vector<std::uint64_t>& held, monotonic_time now);
+  void LearnHeld(std::uint32_t upstream, std::uint64_t snapshot);
+
+  bool IsMissing(std::uint32_t upstream, std::uint64_t snapshot,
+                 monotonic_time now) const;
+
+  /// Share of the shards of `plan` with a replica not known to lack it.
+  double ServedShare(const snapshot_plan& plan, monotonic_time now) const;
+
+  /// The newest snapshot that almost all shards, and at least share `minimum`,
+  /// serve; else the one that most serve; null when the service has none.
+  std::shared_ptr<const snapshot_plan> Choose(const service_plan& service,
+                                              double minimum,
+                                              monotonic_time now) const;
+
+ private:
+  struct missing_snapshot {
+    std::uint64_t snapshot = 0;
+    monotonic_time until;
+  };
+
+  std::unordered_map<std::uint32_t, std::vector<missing_snapshot>> missing_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_SNAPSHOT_CHOICE_H_
--- a/src/protocol/caller_codec.cc
+++ b/src/protocol/caller_codec.cc
@@ -141,6 +141,18 @@
   return {StatusOf(cause.kind), "application/json", Dump(body)};
 }
 
+std::string FormatFinishedRequest(const finished_request& request) {
+  json body = {{"outcome", request.outcome},
+               {"caller", request.caller},
+               {"latency_us", request.latency.count()},
+               {"deadline_ms", request.deadline.count()},
+               {"account", AccountToJson(request.details)}};
+  if (!request.cause.message.empty()) {
+    body["error"] = ErrorToJson(request.cause);
+  }
+  return Dump(body);
+}
+
 nlohmann::json AccountToJson(const account& details) {
   json shards = json::array();
   for (const shard_account& each : details.shards) {
--- a/src/protocol/caller_codec.h
+++ b/src/protocol/caller_codec.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <variant>
 
+#include "coordination/query_history.h"
 #include "protocol/http_message.h"
 #include "state/caller_messages.h"
 #include "state/error.h"
@@ -20,6 +21,9 @@
 /// Formats a refusal made before the request reached the router.
 http_response FormatCallerError(const error& cause);
 
+/// The account and timings of a finished request as JSON text.
+std::string FormatFinishedRequest(const finished_request& request);
+
 nlohmann::json AccountToJson(const account& details);
 nlohmann::json ErrorToJson(const error& cause);
 
--- a/src/state/caller_messages.cc
+++ b/src/state/caller_messages.cc
@@ -1,5 +1,7 @@
 #include "state/caller_messages.h"
 
+#include "state/overloaded.h"
+
 namespace papayaglade {
 
 const char* ShardOutcomeName(shard_outcome outcome) {
@@ -18,4 +20,15 @@
   return "unknown";
 }
 
+const char* CallerOutcomeName(const caller_outcome& outcome) {
+  return std::visit(
+      overloaded{
+          [](const answered& /*each*/) { return "answered"; },
+          [](const not_run& /*each*/) { return "not_run"; },
+          [](const outcome_unknown& /*each*/) { return "unknown"; },
+          [](const below_coverage& /*each*/) { return "below_coverage"; },
+      },
+      outcome);
+}
+
 }  // namespace papayaglade
--- a/src/state/caller_messages.h
+++ b/src/state/caller_messages.h
@@ -79,6 +79,9 @@
 using caller_outcome =
     std::variant<answered, not_run, outcome_unknown, below_coverage>;
 
+/// Returns the wire name of the outcome, such as "below_coverage".
+const char* CallerOutcomeName(const caller_outcome& outcome);
+
 }  // namespace papayaglade
 
 #endif  // PAPAYAGLADE_STATE_CALLER_MESSAGES_H_
--- a/src/state/shard_messages.cc
+++ b/src/state/shard_messages.cc
@@ -34,6 +34,8 @@
       return "cancelled";
     case shard_reason::kUpstreamError:
       return "upstream_error";
+    case shard_reason::kSnapshotGone:
+      return "snapshot_gone";
   }
   return "unknown";
 }
--- a/src/state/shard_messages.h
+++ b/src/state/shard_messages.h
@@ -58,6 +58,7 @@
   kPeerUnreachable,  ///< The link to the steward is down.
   kCancelled,
   kUpstreamError,  ///< The upstream's reply could not be understood.
+  kSnapshotGone,   ///< No replica holds the snapshot; only said by an entry.
 };
 
 /// Returns the stable wire name of `reason`, such as "standing_unproven".
