--- a/src/coordination/query_run.cc
+++ b/src/coordination/query_run.cc
@@ -13,6 +13,7 @@
 using std::chrono::microseconds;
 
 constexpr int kMostAttemptsPerShard = 4;
+constexpr int kMostHedgesPerShard = 2;
 constexpr int kMostRestarts = 2;
 constexpr double kTypicalShare = 0.5;
 constexpr microseconds kLeastHedgePause{1000};
@@ -305,27 +306,46 @@
   if (reason == shard_reason::kSnapshotGone) ++missing_;
 }
 
+// One straggler in a hundred hedges of a wide query straggles again, so the
+// last hedge may go back to a replica that was asked before.
+replica_pick query_run::PickHedge(std::size_t shard, monotonic_time now) {
+  const replica_pick untried = Pick(shard, now);
+  if (untried.upstream.has_value() || shards_[shard].hedges == 0) {
+    return untried;
+  }
+  return ChooseReplica(pinned_->shards[shard].replicas,
+                       {shards_[shard].tried.back()}, pinned_->snapshot,
+                       context_, now);
+}
+
 void query_run::Hedge(monotonic_time now) {
   next_hedge_.reset();
+  const auto plan = [this](monotonic_time due) {
+    next_hedge_ = std::min(next_hedge_.value_or(due), due);
+  };
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     shard_state& shard = shards_[i];
-    if (shard.phase != shard_phase::kOpen || shard.hedged) continue;
+    const bool may_hedge = shard.phase == shard_phase::kOpen &&
+                           shard.hedges < kMostHedgesPerShard &&
+                           shard.attempts < kMostAttemptsPerShard;
+    if (!may_hedge) continue;
     const monotonic_time due =
         attempts_[shard.last_attempt].sent + *hedge_delay_;
     if (due > now) {
-      next_hedge_ = std::min(next_hedge_.value_or(due), due);
+      plan(due);
+      continue;
+    }
+    const replica_pick pick = PickHedge(i, now);
+    if (!pick.upstream.has_value()) {
+      shard.hedges = kMostHedgesPerShard;
       continue;
     }
-    const replica_pick pick = Pick(i, now);
-    shard.hedged = true;
-    if (!pick.upstream.has_value()) continue;
     if (!learnt_.extra_load.TryTake()) {
-      shard.hedged = false;
-      next_hedge_ =
-          now + std::max<monotonic_time::duration>(
-                    *hedge_delay_ / kHedgePauseDivisor, kLeastHedgePause);
-      return;
+      const monotonic_time::duration pause = *hedge_delay_ / kHedgePauseDivisor;
+      return plan(now +
+                  std::max<monotonic_time::duration>(pause, kLeastHedgePause));
     }
+    ++shard.hedges;
     ++counts_.hedges;
     Ask(i, *pick.upstream, now);
   }
--- a/src/coordination/query_run.h
+++ b/src/coordination/query_run.h
@@ -56,7 +56,7 @@
     std::vector<std::uint32_t> tried;  ///< Upstreams, the last asked last.
     int attempts = 0;
     int outstanding = 0;
-    bool hedged = false;
+    int hedges = 0;
     bool may_have_run = false;
     std::uint32_t answered_by = 0;
     std::size_t last_attempt = 0;
@@ -67,6 +67,7 @@
   /// Asks every shard of the pinned snapshot; returns how many were asked.
   std::size_t Begin(monotonic_time now);
   replica_pick Pick(std::size_t shard, monotonic_time now);
+  replica_pick PickHedge(std::size_t shard, monotonic_time now);
   void Ask(std::size_t shard, std::uint32_t upstream, monotonic_time now);
   /// Asks another replica if there is one and `budget` pays for it.
   bool AskAgain(std::size_t shard, retry_budget& budget, monotonic_time now);
--- a/src/coordination/single_run.cc
+++ b/src/coordination/single_run.cc
@@ -117,7 +117,8 @@
   }
   if (WasRefused(reply.status) && phase_ != run_phase::kFollowing) {
     SettleUnsent(error_kind::kUnavailable,
-                 "the platform, which keeps request keys, refuses or is out");
+                 "the platform, which keeps request keys, refuses or is "
+                 "out; this request sent nothing");
     return Finish();
   }
   RetryLater(now);
--- /dev/null
+++ b/tests/unit/query_run_test.cc
@@ -0,0 +1,251 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "tier_model.h"
+
+namespace papayaglade {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using namespace std::chrono_literals;
+
+const answered& Answered(const tier_model& tier, std::uint64_t query) {
+  REQUIRE(std::holds_alternative<answered>(tier.OutcomeOf(query)));
+  return std::get<answered>(tier.OutcomeOf(query));
+}
+
+bool WasCancelled(const tier_model& tier, std::uint64_t attempt) {
+  return std::count(tier.cancelled.begin(), tier.cancelled.end(), attempt) > 0;
+}
+
+}  // namespace
+
+TEST_CASE("the own data centre is asked first, one message a steward") {
+  tier_model tier(5);
+  tier.upstreams = [](const auto& seen) { return Answer(seen, 1ms); };
+  const auto query = tier.Ask();
+  REQUIRE(tier.sent.size() == 5);
+  for (const auto& each : tier.sent) CHECK(each.steward == "sa");
+  tier.Advance(2ms);
+  const answered& answer = Answered(tier, query);
+  CHECK(answer.details.coverage == 1.0);
+  CHECK(answer.hits.size() == 5);
+  CHECK(answer.details.shards[3].upstream == "u3-a");
+}
+
+TEST_CASE("late and doubled results are dropped by their attempt id") {
+  tier_model tier(2);
+  const auto first = tier.Ask();
+  const auto a = tier.sent[0].attempt.attempt_id;
+  tier.Result(a, shard_status::kAnswered);
+  tier.Result(a, shard_status::kAnswered);
+  CHECK(tier.outcomes.empty());
+  tier.Result(tier.sent[1].attempt.attempt_id, shard_status::kAnswered);
+  CHECK(Answered(tier, first).details.coverage == 1.0);
+  const auto second = tier.Ask();
+  for (const auto& old : {tier.sent[0], tier.sent[1]}) {
+    tier.Result(old.attempt.attempt_id, shard_status::kAnswered);
+  }
+  CHECK(tier.outcomes.count(second) == 0);
+}
+
+TEST_CASE("an answer from another snapshot is discarded") {
+  tier_model tier(2);
+  const auto query = tier.Ask();
+  tier.Result(tier.sent[0].attempt.attempt_id, shard_status::kAnswered,
+              shard_reason::kNone, 9);
+  tier.Result(tier.sent[1].attempt.attempt_id, shard_status::kAnswered);
+  REQUIRE(tier.sent.size() == 3);
+  CHECK(tier.sent[2].attempt.upstream == "u0-b");
+  CHECK(tier.outcomes.count(query) == 0);
+}
+
+TEST_CASE("an expired snapshot restarts the whole query on one that is held") {
+  tier_model tier(8);
+  tier.View().snapshots[0].snapshots.clear();
+  tier.AddSnapshot(1, 4);
+  tier.AddSnapshot(2, 8);  // Every shard was split in two.
+  tier.PushView();
+  tier.upstreams = [](const seen_attempt& seen) {
+    if (seen.snapshot == 1) return Answer(seen, 1ms);
+    const bool first_half = seen.attempt.shard < "s4";
+    if (first_half && seen.snapshot == 2) return Answer(seen, 1ms);
+    planned_end gone = End(shard_status::kSnapshotGone, shard_reason::kNone);
+    gone.result.snapshots_held = {1};
+    return gone;
+  };
+  const auto query = tier.Ask();
+  CHECK(tier.sent[0].snapshot == 2);
+  tier.Advance(20ms);
+  const answered& answer = Answered(tier, query);
+  CHECK(answer.details.snapshot == 1);
+  CHECK(answer.details.restarts == 1);
+  CHECK(answer.details.coverage == 1.0);
+  CHECK(answer.details.shards.size() == 4);
+  CHECK(answer.hits.size() == 4);
+  // What one query learnt saves the next one the detour.
+  const std::size_t before = tier.sent.size();
+  tier.Ask();
+  CHECK(tier.sent.at(before).snapshot == 1);
+}
+
+TEST_CASE("without a better snapshot the coverage told is the lower one") {
+  tier_model tier(4);
+  tier.Work().coverage.minimum = 0.5;
+  tier.upstreams = [](const seen_attempt& seen) {
+    if (seen.attempt.shard != "s0") return Answer(seen, 1ms);
+    return End(shard_status::kSnapshotGone, shard_reason::kNone);
+  };
+  const auto query = tier.Ask();
+  tier.Advance(20ms);
+  const account& details = Answered(tier, query).details;
+  CHECK(details.coverage == 0.75);
+  CHECK(details.shards[0].reason == shard_reason::kSnapshotGone);
+  CHECK(details.restarts == 0);
+}
+
+TEST_CASE("a counter lookup settles for less, a full search does not") {
+  tier_model tier(10);
+  tier.upstreams = [](const seen_attempt& seen) {
+    const bool slow = seen.attempt.shard == "s9";
+    return Answer(seen, slow ? 400ms : 2ms);
+  };
+  const auto full = tier.Ask();
+  tier.Advance(50ms);
+  CHECK(tier.outcomes.count(full) == 0);
+  tier.Work().coverage = {0.8, 0.9, 10ms};
+  const auto counter = tier.Ask();
+  const monotonic_time start = tier.now;
+  tier.Advance(50ms);
+  CHECK(Answered(tier, counter).details.coverage == 0.9);
+  CHECK(tier.settled_at[counter] - start == 10ms);
+  CHECK(Answered(tier, counter).details.shards[9].outcome ==
+        shard_outcome::kLate);
+  CHECK(WasCancelled(tier, tier.sent.back().attempt.attempt_id));
+}
+
+TEST_CASE("the answer leaves before the deadline, below the minimum typed") {
+  tier_model tier(3);
+  tier.upstreams = [](const seen_attempt& seen) -> std::optional<planned_end> {
+    if (seen.attempt.shard == "s0") return Answer(seen, 1ms);
+    return std::nullopt;
+  };
+  auto request = tier_model::Request();
+  request.deadline = 100ms;
+  const monotonic_time start = tier.now;
+  const auto query = tier.Ask(request);
+  request.minimum_coverage = 0.3;
+  const auto lenient = tier.Ask(request);
+  tier.Advance(200ms);
+  CHECK(tier.settled_at[query] - start < 100ms);
+  REQUIRE(std::holds_alternative<below_coverage>(tier.OutcomeOf(query)));
+  const auto& refusal = std::get<below_coverage>(tier.OutcomeOf(query));
+  CHECK(refusal.cause.kind == error_kind::kBelowCoverage);
+  CHECK_FALSE(refusal.cause.remedy.empty());
+  CHECK(refusal.details.shards[1].outcome == shard_outcome::kLate);
+  CHECK(Answered(tier, lenient).hits.size() == 1);
+}
+
+TEST_CASE("refusals before running are retried at the other replica") {
+  tier_model tier(2);
+  tier.upstreams = [](const seen_attempt& seen) {
+    if (seen.steward == "sb") return Answer(seen, 1ms);
+    return End(shard_status::kNotRun, shard_reason::kQueueFull);
+  };
+  const auto query = tier.Ask();
+  tier.Advance(10ms);
+  CHECK(Answered(tier, query).details.retries == 2);
+  CHECK(Answered(tier, query).details.shards[0].upstream == "u0-b");
+}
+
+TEST_CASE("refused everywhere is proven not run") {
+  tier_model tier(2);
+  tier.upstreams = [](const seen_attempt& /*seen*/) {
+    return End(shard_status::kNotRun, shard_reason::kCold);
+  };
+  const auto query = tier.Ask();
+  tier.Advance(10ms);
+  REQUIRE(std::holds_alternative<not_run>(tier.OutcomeOf(query)));
+  CHECK(std::get<not_run>(tier.OutcomeOf(query)).details.shards[0].reason ==
+        shard_reason::kCold);
+}
+
+TEST_CASE("a storm of losses repeats no more than the budget") {
+  tier_model tier(20);
+  tier.upstreams = [](const seen_attempt& /*seen*/) {
+    return End(shard_status::kLost, shard_reason::kUpstreamLost);
+  };
+  for (int i = 0; i < 500; ++i) {
+    tier.Ask();
+    tier.Advance(10ms);
+  }
+  const auto first = static_cast<double>(tier.totals.first_attempts);
+  CHECK(first == 10000);
+  CHECK(tier.totals.retries > 400);
+  CHECK(tier.totals.retries <= 0.05 * first + retry_budget::kFloor);
+}
+
+TEST_CASE("a data centre ordered out gets nothing new") {
+  tier_model tier(3);
+  tier.View().orders = {{"a", 1, true}, {"a", 2, false}, {"a", 3, true}};
+  tier.PushView();
+  tier.Ask();
+  for (const auto& each : tier.sent) CHECK(each.steward == "sb");
+  tier.View().orders = {{"a", 3, true}, {"b", 1, true}};
+  tier.PushView();
+  const auto query = tier.Ask();
+  CHECK(tier.sent.size() == 3);
+  CHECK(std::get<not_run>(tier.OutcomeOf(query)).details.shards[0].reason ==
+        shard_reason::kDataCentreOut);
+}
+
+TEST_CASE("a dead steward's attempts move at once and it is left out") {
+  tier_model tier(3);
+  tier.upstreams = [](const seen_attempt& seen) -> std::optional<planned_end> {
+    if (seen.steward == "sa") return std::nullopt;
+    return Answer(seen, 1ms);
+  };
+  const auto query = tier.Ask();
+  tier.Advance(1ms);
+  tier.engine.OnStewardLink("sa", false, tier.now);
+  tier.Advance(2ms);
+  CHECK(Answered(tier, query).details.coverage == 1.0);
+  const std::size_t before = tier.sent.size();
+  tier.Ask();
+  CHECK(tier.sent.at(before).steward == "sb");
+  tier.engine.OnStewardLink("sa", true, tier.now);
+  tier.Ask();
+  CHECK(tier.sent.back().steward == "sa");
+}
+
+TEST_CASE("an attempt refused by a former steward waits for the new roster") {
+  tier_model tier(1);
+  tier.View().snapshots[0].snapshots[0].shards[0].replicas = {"u0-a"};
+  tier.PushView();
+  const auto query = tier.Ask();
+  tier.Result(tier.sent[0].attempt.attempt_id, shard_status::kNotRun,
+              shard_reason::kNotSteward);
+  CHECK(tier.outcomes.count(query) == 0);
+  tier.View().rosters[0].assignments[0].steward = "sc";
+  tier.upstreams = [](const auto& seen) { return Answer(seen, 1ms); };
+  tier.PushView();
+  tier.Advance(5ms);
+  CHECK(tier.sent.back().steward == "sc");
+  CHECK(Answered(tier, query).details.coverage == 1.0);
+}
+
+TEST_CASE("requests over the bound or the workload's deadline are refused") {
+  tier_model tier(1);
+  auto request = tier_model::Request();
+  request.deadline = 5s;
+  auto opened = tier.engine.Open(request, tier.now, tier.now);
+  REQUIRE(std::holds_alternative<error>(opened));
+  CHECK(std::get<error>(opened).field == "/deadline_ms");
+  for (int i = 0; i < 64; ++i) tier.Ask();
+  opened = tier.engine.Open(tier_model::Request(), tier.now, tier.now);
+  CHECK(std::get<error>(opened).kind == error_kind::kOverloaded);
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/tests/unit/tier_model.h
@@ -0,0 +1,76 @@
+#ifndef PAPAYAGLADE_TESTS_UNIT_TIER_MODEL_H_
+#define PAPAYAGLADE_TESTS_UNIT_TIER_MODEL_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/query_engine.h"
+
+namespace papayaglade {
+
+/// One attempt as a steward sees it.
+struct seen_attempt {
+  std::string steward;
+  std::uint64_t snapshot = 0;
+  shard_attempt attempt;
+  monotonic_time sent;
+};
+
+/// The end that the model gives an attempt after `delay`.
+struct planned_end {
+  std::chrono::microseconds delay{1000};
+  shard_result result;
+};
+
+/// Stands for all stewards and upstreams around one query engine, in virtual
+/// time. Shard N has replicas uN-a (data centre "a", steward sa) and uN-b.
+class tier_model {
+ public:
+  explicit tier_model(int shards, std::uint64_t seed = 1);
+
+  workload& Work() { return config_->services[0].workloads[0]; }
+  cluster_view& View() { return *view_; }
+  void AddSnapshot(std::uint64_t snapshot, int shards);
+  void PushView() {
+    engine.SetView(std::make_shared<cluster_view>(*view_), now);
+  }
+
+  std::uint64_t Ask(caller_request request = Request());
+  static caller_request Request();
+  void Result(std::uint64_t attempt_id, shard_status status,
+              shard_reason reason = shard_reason::kNone,
+              std::uint64_t snapshot = 1);
+  /// Moves time, handing out planned results and due times in order.
+  void Advance(std::chrono::microseconds by);
+  const caller_outcome& OutcomeOf(std::uint64_t query) const;
+
+  monotonic_time now{std::chrono::hours(1)};
+  query_engine engine;
+  /// Called for each attempt sent; none: the attempt is never answered.
+  std::function<std::optional<planned_end>(const seen_attempt&)> upstreams;
+  std::vector<seen_attempt> sent;
+  std::vector<std::uint64_t> cancelled;
+  std::map<std::uint64_t, caller_outcome> outcomes;
+  std::map<std::uint64_t, monotonic_time> settled_at;
+  attempt_counts totals;
+
+ private:
+  void Collect();
+
+  std::shared_ptr<configuration> config_;
+  std::shared_ptr<cluster_view> view_;
+  std::multimap<monotonic_time, shard_result> planned_;
+};
+
+planned_end Answer(const seen_attempt& seen, std::chrono::microseconds delay);
+planned_end End(shard_status status, shard_reason reason);
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TESTS_UNIT_TIER_MODEL_H_
