--- a/tests/standin/standin_process.cc
+++ b/tests/standin/standin_process.cc
@@ -52,8 +52,8 @@
   return "";
 }
 
-// GET /summary, /records/UPSTREAM, /begun/UPSTREAM; POST /platform, POST /upstream/NAME,
-// POST /relay/NAME.
+// GET /summary, /records/UPSTREAM, /begun/UPSTREAM; POST /platform, POST
+// /upstream/NAME, POST /relay/NAME.
 http_response standin_process::Handle(const http_request& request) {
   if (request.target == "/summary") {
     return {kStatusOk, "application/json", Summary().dump()};
