--- /dev/null
+++ b/tests/scenarios/runner/chaos.py
@@ -0,0 +1,99 @@
+"""Random faults from a seed: `chaos SEED rounds=N load=LABEL`."""
+
+import random
+
+from .failure import Failure
+from .system import wait_until
+
+ANSWERS_A_STAGE = 25
+STAGE_BOUND_S = 15
+
+
+class Chaos:
+    """Each round makes one or two faults, lets the load go on, heals them and
+    lets it go on again. Faults of one round may meet on the same target."""
+
+    def __init__(self, steps, seed, load):
+        self.steps = steps
+        self.random = random.Random(seed)
+        self.load = load
+        self.done = []  # what was done, for the report
+
+    def run(self, rounds):
+        for _ in range(rounds):
+            count = self.random.choice((1, 2, 2))
+            faults = [self.random.choice(self.faults())() for _ in range(count)]
+            for fault, _ in faults:
+                self.do(fault)
+            self.go_on()
+            for _, remedy in reversed(faults):
+                self.do(remedy)
+            self.go_on()
+
+    def do(self, command):
+        if not command:
+            return
+        self.done.append(" ".join(command))
+        words = [each for each in command[1:] if "=" not in each]
+        options = {key: int(value) for key, value in
+                   (each.split("=") for each in command[1:] if "=" in each)}
+        self.steps.do(command[0], words, options)
+
+    def go_on(self):
+        """Waits for answers, not for a time."""
+        answers = self.steps.callers.of_load
+        before = len(answers(self.load))
+        if not wait_until(lambda: len(answers(self.load)) - before
+                          >= ANSWERS_A_STAGE, STAGE_BOUND_S):
+            raise Failure(f"{ANSWERS_A_STAGE} answers in {STAGE_BOUND_S} s",
+                          f"{len(answers(self.load)) - before} after "
+                          + "; ".join(self.done))
+
+    def faults(self):
+        chosen = [self.kill, self.freeze, self.go_cold, self.silence,
+                  self.lose, self.outage, self.leave]
+        if self.steps.topology.relays:
+            chosen += [self.silent_links, self.cut]
+        return chosen
+
+    def instance(self):
+        return self.random.choice(sorted(self.steps.topology.instances))
+
+    def upstream(self):
+        return self.random.choice(sorted(self.steps.topology.upstreams))
+
+    def kill(self):
+        name = self.instance()
+        return ["kill", name], ["start", name]
+
+    def freeze(self):
+        name = self.instance()
+        return ["freeze", name], ["thaw", name]
+
+    def go_cold(self):
+        return ["go-cold", self.upstream()], None
+
+    def silence(self):
+        return ["silence", self.upstream(), "hold_ms=2000"], None
+
+    def lose(self):
+        kind = self.random.choice([self.upstream(), "roster", "claim"])
+        return ["lose-answer", kind, "2"], None
+
+    def outage(self):
+        mode = self.random.choice(["refuse", "hang"])
+        return ["outage", mode], ["heal", "platform"]
+
+    def leave(self):
+        name = self.upstream()
+        return ["leave", name], ["return", name]
+
+    def silent_links(self):
+        one, other = self.random.sample(sorted(self.steps.topology.instances),
+                                        2)
+        return ["silence", one, other], ["heal", one, other]
+
+    def cut(self):
+        one, other = self.random.sample(sorted(self.steps.topology.instances),
+                                        2)
+        return ["cut", one, other], ["heal", one, other]
--- a/tests/scenarios/runner/expectations.py
+++ b/tests/scenarios/runner/expectations.py
@@ -1,5 +1,6 @@
 """The forms of `expect`: conditions with bounds on time."""
 
+import collections
 import operator
 import time
 
@@ -9,6 +10,7 @@
 from .system import wait_until
 
 QUIET_S = 2.0
+REASONS_SHOWN = 6
 COMPARISONS = {"==": operator.eq, "!=": operator.ne, "<=": operator.le,
                ">=": operator.ge, "<": operator.lt, ">": operator.gt}
 
@@ -127,8 +129,26 @@
         full (share), cut-off, outcome:NAME, p50-ms, p99-ms, repeats (share)"""
         name, what, comparison, value = words
         since = self.since(options)
-        self.compare(f"load {name}", what, comparison, float(value), bound_s,
-                     lambda: self.load_figure(name, what, since))
+        try:
+            self.compare(f"load {name}", what, comparison, float(value),
+                         bound_s, lambda: self.load_figure(name, what, since))
+        except Failure as failed:
+            why = self.unanswered(name, since)
+            raise Failure(failed.expected, f"{failed.seen}; {why}") from failed
+
+    def unanswered(self, name, since):
+        """The commonest reasons of a load's answers that are not whole."""
+        reasons = collections.Counter()
+        for answer in self.callers.of_load(name, since):
+            if answer.outcome == "answered" and answer.coverage == 1:
+                continue
+            shards = {each["reason"] or each["outcome"]
+                      for each in answer.account.get("shards", [])
+                      if each["outcome"] != "answered"}
+            kind = answer.body.get("error", {}).get("kind", "")
+            reasons[f"{answer.outcome} {kind} {answer.error} "
+                    f"{sorted(shards)} at {answer.instance}"] += 1
+        return reasons.most_common(REASONS_SHOWN)
 
     def since(self, options):
         """since=TARGET: from the last command on TARGET on."""
--- a/tests/scenarios/runner/scenario.py
+++ b/tests/scenarios/runner/scenario.py
@@ -1,5 +1,7 @@
 """Reads one scenario file and runs it line by line."""
 
+import dataclasses
+import json
 import os
 import re
 import shlex
@@ -55,6 +57,10 @@
 
     def report(self, number, text, start, expected, seen):
         name = os.path.basename(self.path)
+        with open(os.path.join(self.folder, "answers.json"), "w",
+                  encoding="utf-8") as file:
+            for each in self.callers.answers:
+                file.write(json.dumps(dataclasses.asdict(each)) + "\n")
         return (f"{name}:{number}: {text.strip()}\n"
                 f"  after    {time.monotonic() - start:.1f} s\n"
                 f"  expected {expected}\n  seen     {seen}\n"
--- a/tests/scenarios/runner/steps.py
+++ b/tests/scenarios/runner/steps.py
@@ -7,6 +7,8 @@
 import threading
 import time
 
+from . import http
+from .chaos import Chaos
 from .failure import Failure
 
 COMMAND_TIMEOUT_S = 60
@@ -26,7 +28,9 @@
         """Takes a name, or `steward-of UPSTREAM`, off the front."""
         word = words.pop(0)
         if word == "steward-of":
-            return self.system.steward_of(words.pop(0))
+            upstream = words.pop(0)
+            self.command_times[upstream] = time.monotonic()
+            return self.system.steward_of(upstream)
         return word
 
     def targets(self, words):
@@ -147,6 +151,16 @@
         for name in words or list(self.callers.loads):
             self.callers.end_load(name)
 
+    def chaos(self, words, options):
+        """chaos SEED rounds=N load=LABEL"""
+        run = Chaos(self, int(words[0]), options["load"])
+        try:
+            run.run(options.get("rounds", 5))
+        finally:
+            path = os.path.join(self.system.folder, "chaos.log")
+            with open(path, "w", encoding="utf-8") as file:
+                file.write("\n".join(run.done) + "\n")
+
     # Platform
 
     def put_snapshots(self, service):
@@ -155,7 +169,6 @@
         summary = self.system.summary("platform")["platform"]
         stored = summary.get("objects", {}).get("snapshots", {}).get(service)
         version = stored["version"] if stored else 0
-        from . import http
         http.call_json(port, "PUT", f"{target}?version={version}",
                        self.topology.snapshot_object(service))
 
