Let the scenario caller drop connections it has seen end

Cause: scenario 09 counted 7 cut-off requests; each was sent on a kept-alive connection that the instance had closed during its earlier graceful stop, with the end already received by the caller. Ruled out: a request lost by the instance: the listener stays open for the balancer's notice and the drain test covers running and backlogged requests. Change: the caller checks for a received end before it sends, as HTTP clients do; the check cut-off == 0 stands as it was.

--- a/tests/scenarios/runner/callers.py
+++ b/tests/scenarios/runner/callers.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import queue
+import select
 import threading
 import time
 from dataclasses import dataclass, field
@@ -75,7 +76,7 @@
         does, the caller then turns to the next instance."""
         for instance in self.choices(at):
             answer.instance = instance
-            kept = connections.pop(instance, None)
+            kept = self.usable(connections.pop(instance, None))
             try:
                 connection = kept or self.connect(instance)
                 connection.request("POST", "/query", body)
@@ -92,6 +93,19 @@
                 answer.error = f"{type(failed).__name__}: {failed}"
                 return
 
+    @staticmethod
+    def usable(connection):
+        """A kept-alive connection, or None when the instance has closed it
+        since the last answer: no caller sends on a connection it has seen
+        end, and nothing of this request has been sent yet."""
+        if connection is None or connection.sock is None:
+            return None
+        readable, _, _ = select.select([connection.sock], [], [], 0)
+        if not readable:
+            return connection
+        connection.close()
+        return None
+
     def connect(self, instance):
         connection = http.client.HTTPConnection(
             "127.0.0.1", self.system.port(f"callers/{instance}"),
