--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -34,6 +34,8 @@
 constexpr std::size_t kMostLinks = 2048;
 constexpr long kHandshakeTimeoutMs = 1000;
 constexpr std::chrono::milliseconds kLinkCheckPeriod{100};
+// Whoever does not show the key by then is not an instance of the system.
+constexpr std::chrono::milliseconds kGreetingTimeout{2000};
 // A link with unanswered work is asked for a pong after the first time and
 // replaced after the second.
 constexpr std::chrono::milliseconds kProbeAfterSilence{500};
@@ -137,7 +139,7 @@
     bool dialled = false;  ///< By this instance; else accepted.
     bool greeted = false;  ///< The peer's hello was accepted.
     instance_identity peer;
-    monotonic_time last_received;
+    monotonic_time opened;
     /// Oldest message or ping that nothing has been received since.
     std::optional<monotonic_time> unanswered_since;
   };
@@ -229,7 +231,7 @@
     added.handle = handle;
     added.dialled = dialled;
     added.peer.name = peer;
-    added.last_received = monotonic_clock::now();
+    added.opened = monotonic_clock::now();
     const peer_hello hello{self_, settings_.data_centre, settings_.peer_key};
     Write(added, EncodePeerMessage(hello), true);
   }
@@ -363,7 +365,6 @@
   void Heard(const link_handle& handle) {
     const auto found = links_.find(handle);
     if (found == links_.end()) return;
-    found->second.last_received = monotonic_clock::now();
     found->second.unanswered_since.reset();
   }
 
@@ -427,7 +428,10 @@
     std::vector<link_handle> silent;
     for (auto& each : links_) {
       link& checked = each.second;
-      if (!checked.unanswered_since) continue;
+      const bool anonymous =
+          !checked.greeted && now - checked.opened >= kGreetingTimeout;
+      if (anonymous) silent.push_back(each.first);
+      if (anonymous || !checked.unanswered_since) continue;
       const auto waited = now - *checked.unanswered_since;
       if (waited >= kReplaceAfterSilence) {
         silent.push_back(each.first);
--- /dev/null
+++ b/tests/unit/peer_links_test.cc
@@ -0,0 +1,82 @@
+#include "transport/peer_links.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+namespace papayaglade {
+
+namespace {
+
+constexpr std::size_t kRing = 64;
+constexpr std::chrono::seconds kPatience{10};
+
+// One instance's peers duty with the rings of the duties it feeds.
+struct test_instance {
+  test_instance(const std::string& name, std::uint64_t incarnation,
+                const std::string& key)
+      : identity{name, incarnation},
+        router(kRing),
+        stewards(kRing),
+        control(kRing) {
+    instance_settings settings;
+    settings.name = name;
+    settings.peer_key = key;
+    links = std::make_unique<peer_links>(settings, identity, router, stewards,
+                                         control);
+    while (!links->Listen({"127.0.0.1", port}).empty()) ++port;
+    links->Start();
+  }
+
+  void Know(const test_instance& other) const {
+    links->SetAddress(other.identity, {"127.0.0.1", other.port});
+  }
+
+  // The next event of one kind that reaches the control duty.
+  template <typename Event>
+  Event Next() {
+    control_duty_event event;
+    while (control.PopUntil(event, monotonic_clock::now() + kPatience)) {
+      if (auto* wanted = std::get_if<Event>(&event)) return *wanted;
+    }
+    FAIL("no such event");
+    return {};
+  }
+
+  instance_identity identity;
+  router_ring router;
+  steward_ring stewards;
+  control_ring control;
+  std::uint16_t port = 28300;
+  std::unique_ptr<peer_links> links;
+};
+
+using link_state = peer_link_event::link_state;
+
+}  // namespace
+
+TEST_CASE("peers of one key reach each other, others do not") {
+  test_instance a("a", 1, "the key of the system");
+  test_instance b("b", 2, "the key of the system");
+  test_instance stranger("c", 3, "some other key");
+  a.Know(b);
+  a.links->Send("b", control_message(probe{}));
+  CHECK(b.Next<control_event>().from == a.identity);
+  stranger.Know(b);
+  stranger.links->Send("b", control_message(probe{}));
+  const auto refused = stranger.Next<peer_link_event>();
+  CHECK(refused.state != link_state::kUp);
+}
+
+TEST_CASE("a refused dial is told from a lost link") {
+  test_instance a("a", 1, "the key of the system");
+  auto b = std::make_unique<test_instance>("b", 2, "the key of the system");
+  a.Know(*b);
+  a.links->Dial("b");
+  CHECK(a.Next<peer_link_event>().state == link_state::kUp);
+  b.reset();
+  CHECK(a.Next<peer_link_event>().state == link_state::kClosed);
+  a.links->Dial("b");
+  CHECK(a.Next<peer_link_event>().state == link_state::kRefused);
+}
+
+}  // namespace papayaglade
