--- a/tests/scenarios/runner/steps.py
+++ b/tests/scenarios/runner/steps.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import subprocess
+import tempfile
 import threading
 import time
 
@@ -70,9 +71,7 @@
 
     def publish(self, words, options):
         """publish [as LABEL]: succeeds when it is in force everywhere"""
-        folder = os.path.join(self.system.folder,
-                              f"services-{len(os.listdir(self.system.folder))}")
-        os.makedirs(folder)
+        folder = tempfile.mkdtemp(prefix="services-", dir=self.system.folder)
         for service in self.topology.services:
             value = self.topology.service_file(service, self.system.ports)
             path = os.path.join(folder, f"{service}.papayaglade.json")
