Add membership, the spread of objects and the platform client

Cause: every instance listed four kinds from the platform five times a second and knew of others only what the platform said. Change: membership probes one member a period, asks others to probe, suspects, lets members refute and tells a refused dial from silence. config_spread lets versions only rise, announces a change to a few peers and corrects the rest by a summary on each probe reply. platform_client bounds calls by a budget and settles lost writes by reading back; object_feed watches on two instances per data centre and lists slowly elsewhere. An incarnation is now the time of the start, so that peers know which of two lives of a name is the newer. Settings take seed peers for a start while the platform is out.

--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -4,9 +4,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "app/membership_part.h"
 #include "app/roster_part.h"
-#include "app/spread_part.h"
 #include "app/view_builder.h"
+#include "app/view_status.h"
 
 namespace papayaglade {
 
@@ -34,14 +35,21 @@
       self_(self),
       timer_(timer),
       peers_(peers),
-      platform_(platform),
       router_(router),
       stewards_(stewards),
       readiness_(readiness),
       metrics_(metrics),
-      inbox_(inbox) {
+      inbox_(inbox),
+      platform_(platform, metrics,
+                {settings.platform_timeout, settings.platform_calls_per_second},
+                self.incarnation) {
   control_context& context = *this;
-  parts_.push_back(std::make_unique<spread_part>(context));
+  auto spread = std::make_unique<spread_part>(
+      context,
+      [this](const versioned_object& object) { return Accept(object); });
+  spread_ = spread.get();
+  parts_.push_back(std::move(spread));
+  parts_.push_back(std::make_unique<membership_part>(context));
   parts_.push_back(std::make_unique<roster_part>(context));
 }
 
@@ -63,11 +71,13 @@
   control_duty_event event;
   while (inbox_.Pop(event)) {
     std::visit([this](auto& each) { Handle(each); }, event);
+    NotifyParts();
     PublishIfChanged();
   }
 }
 
 void control_duty::Handle(tick& event) {
+  platform_.OnTick(event.now);
   for (const auto& part : parts_) part->OnTick(event.now);
 }
 
@@ -82,11 +92,7 @@
 }
 
 void control_duty::Handle(platform_event& event) {
-  const auto call = calls_.find(event.reply.call_id);
-  if (call == calls_.end()) return;
-  const platform_callback done = std::move(call->second);
-  calls_.erase(call);
-  done(event.reply);
+  platform_.OnReply(event.reply, Now());
 }
 
 void control_duty::Handle(order_event& event) {
@@ -100,10 +106,25 @@
   nlohmann::json status = {{"instance", self_.name},
                            {"incarnation", self_.incarnation},
                            {"data_centre", settings_.data_centre}};
+  status["ready"] = view_.ready;
+  if (!view_.ready) status["not_ready_because"] = ReasonNotReady();
+  DescribeView(view_, status);
+  DescribePlatform(status);
   for (const auto& part : parts_) part->Describe(status);
   event.reply(status.dump());
 }
 
+void control_duty::DescribePlatform(nlohmann::json& status) const {
+  nlohmann::json& platform = status["platform"];
+  platform["reachable"] = platform_.IsReachable();
+  platform["calls"] = platform_.CallsSpent();
+  const auto since = platform_.ReachableSince();
+  if (!since.has_value()) return;
+  platform["since_ms"] =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now() - *since)
+          .count();
+}
+
 void control_duty::Handle(handover_event& event) {
   for (const auto& part : parts_) part->OnHandover(event);
 }
@@ -126,31 +147,49 @@
 
 void control_duty::CallPlatform(platform_operation operation,
                                 platform_callback done) {
-  const std::uint64_t call = ++last_call_;
-  calls_[call] = std::move(done);
-  platform_.CallFromControl(
-      {call, std::move(operation), settings_.platform_timeout});
+  platform_.Call(std::move(operation), std::move(done), Now());
+}
+
+void control_duty::SetMembers(std::vector<member> members) {
+  members_ = std::move(members);
+  members_changed_ = true;
 }
 
 bool control_duty::Offer(versioned_object object) {
-  std::uint64_t& version = versions_[object.key];
-  if (object.version <= version) return false;
+  return spread_->Offer(object);
+}
+
+bool control_duty::Accept(const versioned_object& object) {
   if (!PutIntoView(object, view_)) return false;
-  version = object.version;
+  view_changed_ = true;
+  accepted_.push_back(object);
+  if (object.key.kind == object_kind::kConfiguration) {
+    metrics_.Set(gauge_metric::kConfiguration, "version",
+                 static_cast<double>(object.version));
+  }
   if (object.key.kind == object_kind::kRoster) {
-    for (const roster& each : view_.rosters) {
-      if (each.data_centre != object.key.name) continue;
-      for (const roster_member& listed : each.members) {
-        if (listed.identity.name == self_.name) continue;
-        peers_.SetAddress(listed.identity, listed.peers);
-      }
-    }
+    metrics_.Add(counter_metric::kRosterChanges, object.key.name, 1);
   }
-  view_changed_ = true;
-  for (const auto& part : parts_) part->OnObject(object);
   return true;
 }
 
+std::uint64_t control_duty::VersionSummary() const {
+  return spread_->VersionSummary();
+}
+
+// A part may offer objects or change members while it hears of others.
+void control_duty::NotifyParts() {
+  while (members_changed_ || !accepted_.empty()) {
+    if (std::exchange(members_changed_, false)) {
+      for (const auto& part : parts_) part->OnMembersChanged();
+    }
+    if (accepted_.empty()) continue;
+    const versioned_object object = std::move(accepted_.front());
+    accepted_.pop_front();
+    for (const auto& part : parts_) part->OnObject(object);
+  }
+}
+
 std::string control_duty::ReasonNotReady() const {
   if (draining_) return "shutting down";
   if (view_.config == nullptr) return "no configuration yet";
--- a/src/app/control_duty.h
+++ b/src/app/control_duty.h
@@ -1,13 +1,15 @@
 #ifndef PAPAYAGLADE_APP_CONTROL_DUTY_H_
 #define PAPAYAGLADE_APP_CONTROL_DUTY_H_
 
-#include <map>
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "app/control_part.h"
 #include "app/duty_thread.h"
+#include "app/spread_part.h"
+#include "coordination/platform_client.h"
 #include "coordination/timer_service.h"
 
 namespace papayaglade {
@@ -38,8 +40,10 @@
   void CallPlatform(platform_operation operation,
                     platform_callback done) override;
   const std::vector<member>& Members() const override { return members_; }
+  void SetMembers(std::vector<member> members) override;
   const cluster_view& View() const override { return view_; }
   bool Offer(versioned_object object) override;
+  std::uint64_t VersionSummary() const override;
   void PublishView() override { view_changed_ = true; }
 
   void Run();
@@ -52,6 +56,9 @@
   void Handle(handover_event& event);
   void Handle(drain_event& event);
 
+  void DescribePlatform(nlohmann::json& status) const;
+  bool Accept(const versioned_object& object);
+  void NotifyParts();
   std::string ReasonNotReady() const;
   void PublishIfChanged();
 
@@ -59,7 +66,6 @@
   instance_identity self_;
   timer_service& timer_;
   peer_port& peers_;
-  platform_port& platform_;
   router_ring& router_;
   steward_ring& stewards_;
   readiness_port& readiness_;
@@ -67,14 +73,15 @@
   control_ring& inbox_;
   duty_thread thread_;
   timer_service::subscription subscription_ = 0;
-  std::uint64_t last_call_ = 0;
-  std::map<std::uint64_t, platform_callback> calls_;
-  std::map<object_key, std::uint64_t> versions_;
+  platform_client platform_;
   std::vector<member> members_;
+  bool members_changed_ = false;
+  std::deque<versioned_object> accepted_;  // Parts have not heard of these.
   cluster_view view_;
   bool view_changed_ = true;
   bool draining_ = false;
   std::vector<std::unique_ptr<control_part>> parts_;
+  spread_part* spread_ = nullptr;  // One of the parts.
 };
 
 }  // namespace papayaglade
--- a/src/app/control_part.h
+++ b/src/app/control_part.h
@@ -41,11 +41,16 @@
 
   /// Members of this instance's own data centre, itself not among them.
   virtual const std::vector<member>& Members() const = 0;
+  /// Called by the part that keeps membership.
+  virtual void SetMembers(std::vector<member> members) = 0;
   /// What is agreed, as far as this instance knows.
   virtual const cluster_view& View() const = 0;
   /// Takes `object` into force here and tells peers, unless its version is
-  /// not above the highest seen or its value is malformed; then false.
+  /// not above the highest seen or its value is malformed; then false. The
+  /// parts hear of it by OnObject after the present event.
   virtual bool Offer(versioned_object object) = 0;
+  /// object_store::Summary of all objects in force here.
+  virtual std::uint64_t VersionSummary() const = 0;
   /// Sends the view to the router and the stewards before the next event.
   virtual void PublishView() = 0;
 };
--- /dev/null
+++ b/src/app/peer_actions.h
@@ -0,0 +1,17 @@
+#ifndef PAPAYAGLADE_APP_PEER_ACTIONS_H_
+#define PAPAYAGLADE_APP_PEER_ACTIONS_H_
+
+#include <vector>
+
+#include "app/control_part.h"
+#include "coordination/peer_action.h"
+
+namespace papayaglade {
+
+/// Carries out what a state machine asks of the peers duty.
+void PerformPeerActions(std::vector<peer_action> actions,
+                        control_context& context);
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_APP_PEER_ACTIONS_H_
--- a/src/app/roster_part.cc
+++ b/src/app/roster_part.cc
@@ -50,7 +50,7 @@
         const object_key key{object_kind::kRoster, next.data_centre};
         if (reply.status == platform_status::kOk) {
           context_.Offer({key, next.epoch, value});
-        } else if (reply.status == platform_status::kConflict) {
+        } else if (!reply.objects.empty()) {
           const platform_object& stored = reply.objects.front();
           context_.Offer({key, stored.version, stored.value});
         }
--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -2,8 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <chrono>
 #include <future>
-#include <random>
 #include <utility>
 
 #include "app/control_duty.h"
@@ -30,10 +30,13 @@
 constexpr int kStatusUnavailable = 503;
 constexpr std::chrono::milliseconds kQuietBeforeClose{500};
 
+// Lives of one name are ordered by their start, so that each peer knows which
+// one replaced the other. Only a new process reads the wall clock.
 instance_identity NewLife(const std::string& name) {
-  std::random_device entropy;
-  std::uniform_int_distribution<std::uint64_t> any(1, INT64_MAX);
-  return {name, any(entropy)};
+  const auto start = std::chrono::system_clock::now().time_since_epoch();
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(start);
+  return {name, static_cast<std::uint64_t>(micros.count())};
 }
 
 }  // namespace
--- a/src/app/spread_part.cc
+++ b/src/app/spread_part.cc
@@ -1,29 +1,152 @@
 #include "app/spread_part.h"
 
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "app/peer_actions.h"
 #include "app/view_builder.h"
+#include "coordination/rendezvous.h"
 
 namespace papayaglade {
 
-spread_part::spread_part(control_context& context) : context_(context) {}
+namespace {
+
+// One may freeze or lose the platform without a change coming late.
+constexpr std::size_t kWatchersPerDataCentre = 2;
+constexpr std::size_t kGatewaysPerDataCentre = 2;
 
-void spread_part::OnTick(monotonic_time /*now*/) {
-  if (waiting_ > 0) return;
-  for (const object_kind kind :
-       {object_kind::kConfiguration, object_kind::kSnapshots,
-        object_kind::kRoster, object_kind::kOrder}) {
-    ++waiting_;
+object_feed FeedOf(object_kind kind, std::uint64_t seed) {
+  return {ObjectKindName(kind), seed + static_cast<std::uint64_t>(kind)};
+}
+
+std::vector<std::string> NamesOf(const std::vector<roster_member>& members) {
+  std::vector<std::string> names;
+  names.reserve(members.size());
+  for (const roster_member& each : members) {
+    names.push_back(each.identity.name);
+  }
+  return names;
+}
+
+}  // namespace
+
+spread_part::spread_part(control_context& context,
+                         config_spread::acceptor accept)
+    : context_(context),
+      spread_(std::move(accept), context.Self().incarnation),
+      feeds_{FeedOf(object_kind::kConfiguration, context.Self().incarnation),
+             FeedOf(object_kind::kSnapshots, context.Self().incarnation),
+             FeedOf(object_kind::kRoster, context.Self().incarnation),
+             FeedOf(object_kind::kOrder, context.Self().incarnation)} {
+  ChoosePeers();
+}
+
+bool spread_part::Offer(const versioned_object& object) {
+  const bool accepted = spread_.Offer(object, context_.Now());
+  Flush();
+  return accepted;
+}
+
+void spread_part::OnTick(monotonic_time now) {
+  for (object_feed& feed : feeds_) {
+    auto operation = feed.Next(now);
+    if (!operation.has_value()) continue;
     context_.CallPlatform(
-        platform_list{ObjectKindName(kind)},
-        [this](const platform_reply& reply) { OnList(reply); });
+        *std::move(operation),
+        [this, &feed](const platform_reply& reply) { OnRead(feed, reply); });
   }
+  spread_.OnTick(now);
+  Flush();
 }
 
-void spread_part::OnList(const platform_reply& reply) {
-  --waiting_;
+void spread_part::OnRead(object_feed& feed, const platform_reply& reply) {
+  const monotonic_time now = context_.Now();
+  feed.OnReply(reply, now);
+  if (reply.status == platform_status::kOk) spread_.ConfirmedAt(now);
   for (const platform_object& stored : reply.objects) {
     const auto object = ReadSharedObject(stored);
     if (object.has_value()) context_.Offer(*object);
   }
 }
 
+void spread_part::OnControlMessage(const instance_identity& from,
+                                   const control_message& message) {
+  spread_.OnMessage(from.name, message, context_.Now());
+  Flush();
+}
+
+void spread_part::OnMembersChanged() { ChoosePeers(); }
+
+void spread_part::OnObject(const versioned_object& object) {
+  if (object.key.kind != object_kind::kRoster) return;
+  LearnAddresses(object.key.name);
+  ChoosePeers();
+}
+
+// Addresses of the own data centre come from membership, which knows newer
+// lives than a roster may.
+void spread_part::LearnAddresses(const std::string& data_centre) {
+  if (data_centre == context_.Settings().data_centre) return;
+  for (const roster& each : context_.View().rosters) {
+    if (each.data_centre != data_centre) continue;
+    for (const roster_member& listed : each.members) {
+      context_.Peers().SetAddress(listed.identity, listed.peers);
+    }
+  }
+}
+
+void spread_part::ChoosePeers() {
+  std::vector<std::string> alive;
+  for (const member& each : context_.Members()) {
+    if (each.state == member_state::kAlive) {
+      alive.push_back(each.identity.name);
+    }
+  }
+  spread_.SetPeers(alive, Gateways());
+  ChooseWatchers(std::move(alive));
+}
+
+void spread_part::ChooseWatchers(std::vector<std::string> alive) {
+  alive.push_back(context_.Self().name);
+  const auto watchers =
+      RendezvousPick("watch/" + context_.Settings().data_centre, alive,
+                     kWatchersPerDataCentre);
+  watching_ = std::find(watchers.begin(), watchers.end(),
+                        context_.Self().name) != watchers.end();
+  for (object_feed& feed : feeds_) feed.SetWatching(watching_);
+}
+
+std::vector<std::string> spread_part::Gateways() const {
+  std::vector<std::string> gateways;
+  for (const roster& each : context_.View().rosters) {
+    if (each.data_centre == context_.Settings().data_centre) continue;
+    const auto chosen = RendezvousPick(
+        context_.Self().name, NamesOf(each.members), kGatewaysPerDataCentre);
+    gateways.insert(gateways.end(), chosen.begin(), chosen.end());
+  }
+  return gateways;
+}
+
+void spread_part::Flush() {
+  PerformPeerActions(spread_.TakeActions(), context_);
+}
+
+void spread_part::Describe(nlohmann::json& status) const {
+  using std::chrono::milliseconds;
+  nlohmann::json versions = nlohmann::json::object();
+  for (const version_entry& each : spread_.Store().Versions()) {
+    versions[ObjectKindName(each.key.kind)][each.key.name] = each.version;
+  }
+  status["versions"] = std::move(versions);
+  status["watches_platform"] = watching_;
+  const auto confirmed = spread_.Confirmed();
+  if (confirmed.has_value()) {
+    const auto age = context_.Now() - *confirmed;
+    status["stale_ms"] = std::chrono::duration_cast<milliseconds>(age).count();
+  } else {
+    status["stale_ms"] = nullptr;
+  }
+}
+
 }  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/backoff.h
@@ -0,0 +1,27 @@
+#ifndef PAPAYAGLADE_COORDINATION_BACKOFF_H_
+#define PAPAYAGLADE_COORDINATION_BACKOFF_H_
+
+#include <chrono>
+#include <random>
+
+namespace papayaglade {
+
+/// Waits between tries that double up to a bound, each with jitter.
+class backoff {
+ public:
+  backoff(std::chrono::milliseconds first, std::chrono::milliseconds longest)
+      : first_(first), longest_(longest), next_(first) {}
+
+  /// Between half of the present wait and all of it; doubles the next one.
+  std::chrono::milliseconds Next(std::mt19937_64& random);
+  void Reset() { next_ = first_; }
+
+ private:
+  std::chrono::milliseconds first_;
+  std::chrono::milliseconds longest_;
+  std::chrono::milliseconds next_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_BACKOFF_H_
--- /dev/null
+++ b/src/coordination/membership.h
@@ -0,0 +1,120 @@
+#ifndef PAPAYAGLADE_COORDINATION_MEMBERSHIP_H_
+#define PAPAYAGLADE_COORDINATION_MEMBERSHIP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "coordination/member_table.h"
+#include "coordination/peer_action.h"
+#include "coordination/update_queue.h"
+#include "state/events.h"
+
+namespace papayaglade {
+
+struct membership_settings {
+  std::chrono::milliseconds probe_period{500};
+  std::chrono::milliseconds probe_timeout{150};
+  std::chrono::milliseconds suspicion{1500};
+};
+
+/// Finds out which instances of one data centre run, by probes whose cost an
+/// instance does not depend on their number. See docs/design/membership.md.
+class membership {
+ public:
+  membership(member_update self, std::string data_centre,
+             membership_settings settings, std::uint64_t seed);
+
+  void OnTick(monotonic_time now);
+  void OnMessage(const instance_identity& from, const control_message& message,
+                 monotonic_time now);
+  void OnPeerLink(const peer_link_event& event, monotonic_time now);
+  /// A list that may be out of date names a member of the data centre.
+  void OnHint(const instance_identity& identity, const endpoint& peers,
+              monotonic_time now);
+  /// Tells the others that this instance is about to end.
+  void Leave(monotonic_time now);
+
+  /// What rides on probes and their replies; see version_summary.
+  void SetVersions(std::uint64_t versions) { versions_ = versions; }
+
+  std::vector<peer_action> TakeActions();
+  /// Whether Members has changed since the last call.
+  bool TakeChanged();
+  std::vector<member> Members() const { return table_.List(); }
+  /// A newer life of this instance's name runs; this one has to end.
+  bool IsSuperseded() const { return superseded_; }
+
+ private:
+  struct relay {
+    std::string requester;
+    std::uint64_t sequence = 0;
+  };
+  struct pending_probe {
+    instance_identity target;
+    monotonic_time sent;
+    bool indirect = false;       ///< Peers were asked to probe it as well.
+    std::optional<relay> owner;  ///< Set when a peer asked for this probe.
+  };
+
+  void Receive(const instance_identity& from, const probe& message,
+               monotonic_time now);
+  void Receive(const instance_identity& from, const probe_reply& message,
+               monotonic_time now);
+  void Receive(const instance_identity& from, const probe_request& message,
+               monotonic_time now);
+  void Receive(const instance_identity& from, const member_list& message,
+               monotonic_time now);
+
+  void ShiftDeadlines(monotonic_time now);
+  void CheckProbes(monotonic_time now);
+  void CheckSuspects(monotonic_time now);
+  void CheckHints(monotonic_time now);
+  void GiveUpHint(const member& known, monotonic_time now);
+  void ForgetDead(monotonic_time now);
+  void ProbeNext(monotonic_time now);
+  void CompareLists(monotonic_time now);
+
+  std::optional<std::string> NextTarget();
+  void SendProbe(const member& target, std::optional<relay> owner,
+                 monotonic_time now);
+  void AskOthers(std::uint64_t sequence, const instance_identity& target);
+  void SendList(const std::string& peer, bool reply_wanted);
+  void NoteContact(const instance_identity& from, monotonic_time now);
+  void Merge(const std::vector<member_update>& updates, monotonic_time now);
+  void Learn(const member_update& update, bool pass_on, monotonic_time now);
+  void LearnOfSelf(const member_update& update);
+  void Declare(const member& known, member_state state, monotonic_time now);
+  bool IsProbed(const instance_identity& target) const;
+  std::vector<member_update> UpdatesFor(const std::string& peer);
+  std::vector<std::string> RandomAlive(std::size_t count,
+                                       const std::string& except);
+  void Act(peer_action action) { actions_.push_back(std::move(action)); }
+
+  member_update self_;
+  std::string data_centre_;
+  membership_settings settings_;
+  std::mt19937_64 random_;
+  member_table table_;
+  update_queue updates_;
+  std::map<std::uint64_t, pending_probe> pending_;
+  std::vector<std::string> order_;  // Members left to probe in this round.
+  std::map<std::string, monotonic_time> asked_;  // For their member lists.
+  std::vector<peer_action> actions_;
+  std::optional<monotonic_time> last_tick_;
+  monotonic_time next_probe_;
+  monotonic_time next_comparison_;
+  std::uint64_t last_sequence_ = 0;
+  std::uint64_t probes_ = 0;
+  std::uint64_t versions_ = 0;
+  bool changed_ = false;
+  bool superseded_ = false;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_MEMBERSHIP_H_
--- /dev/null
+++ b/src/coordination/platform_client.h
@@ -0,0 +1,90 @@
+#ifndef PAPAYAGLADE_COORDINATION_PLATFORM_CLIENT_H_
+#define PAPAYAGLADE_COORDINATION_PLATFORM_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "coordination/backoff.h"
+#include "coordination/metrics_sink.h"
+#include "coordination/ports.h"
+#include "coordination/token_bucket.h"
+#include "state/platform_messages.h"
+#include "state/time.h"
+
+namespace papayaglade {
+
+struct platform_client_settings {
+  std::chrono::milliseconds timeout{1000};
+  double calls_per_second = 5.0;
+};
+
+/// Calls the Object API within a budget, and settles conditional writes whose
+/// answer was lost. See docs/design/platform-client.md.
+class platform_client {
+ public:
+  using callback = std::function<void(const platform_reply&)>;
+
+  platform_client(platform_port& port, metrics_sink& metrics,
+                  platform_client_settings settings, std::uint64_t seed);
+
+  /// `done` is called once, from OnReply or OnTick. A put ends as kLost only
+  /// when reading back kept failing too.
+  void Call(platform_operation operation, callback done, monotonic_time now);
+  void OnReply(const platform_reply& reply, monotonic_time now);
+  void OnTick(monotonic_time now);
+
+  /// Whether the last call that ended got an answer, whatever it said.
+  bool IsReachable() const { return reachable_; }
+  /// When IsReachable last changed; nothing before the first call's end.
+  std::optional<monotonic_time> ReachableSince() const { return since_; }
+  std::uint64_t CallsSpent() const { return spent_; }
+
+ private:
+  struct pending_call {
+    platform_operation operation;
+    callback done;
+    /// The write that `operation` settles; `operation` reads or repeats it.
+    std::optional<platform_put> settled;
+    int settle_tries = 0;
+    backoff wait;
+    monotonic_time due;  ///< Not sent before this.
+  };
+
+  void SendQueued(monotonic_time now);
+  void Dispatch(pending_call call, monotonic_time now);
+  void End(pending_call call, const platform_reply& reply, monotonic_time now);
+  void Settle(pending_call call, const platform_reply& reply,
+              monotonic_time now);
+  void Repeat(pending_call call, platform_operation operation,
+              monotonic_time now);
+  void CheckTimeouts(monotonic_time now);
+  void NoteOutcome(platform_status status, monotonic_time now);
+
+  struct sent_call {
+    pending_call call;
+    monotonic_time give_up;
+  };
+
+  platform_port& port_;
+  metrics_sink& metrics_;
+  platform_client_settings settings_;
+  std::mt19937_64 random_;
+  token_bucket budget_;
+  std::deque<pending_call> urgent_;  // Reads and writes of one object.
+  std::deque<pending_call> regular_;
+  std::map<std::uint64_t, sent_call> sent_;
+  std::uint64_t last_call_ = 0;
+  std::uint64_t spent_ = 0;
+  bool reachable_ = false;
+  std::optional<monotonic_time> since_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_PLATFORM_CLIENT_H_
--- a/src/protocol/control_codec.cc
+++ b/src/protocol/control_codec.cc
@@ -1,5 +1,8 @@
 #include "protocol/control_codec.h"
 
+#include <stdexcept>
+#include <utility>
+
 namespace papayaglade {
 
 namespace {
@@ -9,16 +12,154 @@
 // First element of each message; numbers are never reused.
 constexpr int kProbe = 0;
 constexpr int kProbeReply = 1;
+constexpr int kProbeRequest = 2;
+constexpr int kMemberList = 3;
+constexpr int kVersionSummary = 4;
+constexpr int kVersionDigest = 5;
+constexpr int kObjectRequest = 6;
+constexpr int kObjectReply = 7;
+
+// No sender comes near these; they bound what a broken one can cost.
+constexpr std::size_t kMostMembers = 4096;
+constexpr std::size_t kMostEntries = 65'536;
+constexpr std::size_t kLongestName = 512;
+
+json Encode(const member_update& update) {
+  return json::array({update.identity.name, update.identity.incarnation,
+                      update.peers.address, update.peers.port,
+                      static_cast<int>(update.state), update.refutation});
+}
+
+json Encode(const std::vector<member_update>& updates) {
+  json out = json::array();
+  for (const member_update& each : updates) out.push_back(Encode(each));
+  return out;
+}
 
 struct encoder {
   json operator()(const probe& message) const {
-    return json::array({kProbe, message.sequence});
+    return json::array(
+        {kProbe, message.sequence, message.versions, Encode(message.updates)});
   }
   json operator()(const probe_reply& message) const {
-    return json::array({kProbeReply, message.sequence});
+    return json::array({kProbeReply, message.sequence, message.versions,
+                        Encode(message.updates)});
+  }
+  json operator()(const probe_request& message) const {
+    return json::array({kProbeRequest, message.sequence, message.target.name,
+                        message.target.incarnation, Encode(message.updates)});
+  }
+  json operator()(const member_list& message) const {
+    return json::array({kMemberList, message.reply_wanted, message.data_centre,
+                        Encode(message.members)});
+  }
+  json operator()(const version_summary& message) const {
+    return json::array({kVersionSummary, message.versions});
+  }
+  json operator()(const version_digest& message) const {
+    json out = json::array({kVersionDigest, message.complete});
+    for (const version_entry& each : message.entries) {
+      out.push_back(json::array(
+          {static_cast<int>(each.key.kind), each.key.name, each.version}));
+    }
+    return out;
+  }
+  json operator()(const object_request& message) const {
+    return json::array(
+        {kObjectRequest, static_cast<int>(message.key.kind), message.key.name});
+  }
+  json operator()(const object_reply& message) const {
+    const versioned_object& object = message.object;
+    return json::array({kObjectReply, message.busy,
+                        static_cast<int>(object.key.kind), object.key.name,
+                        object.version, object.value});
   }
 };
 
+// The decoders below throw a std::exception on a wrong shape, type or size.
+
+template <typename Enum>
+Enum DecodeEnum(const json& value, Enum last) {
+  const int number = value.get<int>();
+  if (number < 0 || number > static_cast<int>(last)) {
+    throw std::out_of_range("enumerator");
+  }
+  return static_cast<Enum>(number);
+}
+
+std::string DecodeName(const json& value) {
+  auto name = value.get<std::string>();
+  if (name.size() > kLongestName) throw std::length_error("name");
+  return name;
+}
+
+member_update DecodeUpdate(const json& in) {
+  member_update update;
+  update.identity = {DecodeName(in.at(0)), in.at(1).get<std::uint64_t>()};
+  update.peers = {DecodeName(in.at(2)), in.at(3).get<std::uint16_t>()};
+  update.state = DecodeEnum(in.at(4), member_state::kLeft);
+  in.at(5).get_to(update.refutation);
+  return update;
+}
+
+std::vector<member_update> DecodeUpdates(const json& in) {
+  if (in.size() > kMostMembers) throw std::length_error("members");
+  std::vector<member_update> updates;
+  updates.reserve(in.size());
+  for (const json& each : in) updates.push_back(DecodeUpdate(each));
+  return updates;
+}
+
+object_key DecodeKey(const json& kind, const json& name) {
+  return {DecodeEnum(kind, object_kind::kOrder), DecodeName(name)};
+}
+
+template <typename Message>
+Message DecodeProbe(const json& in) {
+  Message message;
+  in.at(1).get_to(message.sequence);
+  in.at(2).get_to(message.versions);
+  message.updates = DecodeUpdates(in.at(3));
+  return message;
+}
+
+probe_request DecodeProbeRequest(const json& in) {
+  probe_request message;
+  in.at(1).get_to(message.sequence);
+  message.target = {DecodeName(in.at(2)), in.at(3).get<std::uint64_t>()};
+  message.updates = DecodeUpdates(in.at(4));
+  return message;
+}
+
+member_list DecodeMemberList(const json& in) {
+  member_list message;
+  in.at(1).get_to(message.reply_wanted);
+  message.data_centre = DecodeName(in.at(2));
+  message.members = DecodeUpdates(in.at(3));
+  return message;
+}
+
+version_digest DecodeVersionDigest(const json& in) {
+  if (in.size() > kMostEntries) throw std::length_error("entries");
+  version_digest message;
+  in.at(1).get_to(message.complete);
+  for (std::size_t i = 2; i < in.size(); ++i) {
+    const json& entry = in.at(i);
+    message.entries.push_back({DecodeKey(entry.at(0), entry.at(1)),
+                               entry.at(2).get<std::uint64_t>()});
+  }
+  return message;
+}
+
+object_reply DecodeObjectReply(const json& in) {
+  object_reply message;
+  in.at(1).get_to(message.busy);
+  message.object.key = DecodeKey(in.at(2), in.at(3));
+  in.at(4).get_to(message.object.version);
+  in.at(5).get_to(message.object.value);
+  return message;
+}
+
 }  // namespace
 
 nlohmann::json EncodeControlMessage(const control_message& message) {
@@ -28,9 +169,21 @@
 std::optional<control_message> DecodeControlMessage(const nlohmann::json& in) {
   switch (in.at(0).get<int>()) {
     case kProbe:
-      return probe{in.at(1).get<std::uint64_t>()};
+      return DecodeProbe<probe>(in);
     case kProbeReply:
-      return probe_reply{in.at(1).get<std::uint64_t>()};
+      return DecodeProbe<probe_reply>(in);
+    case kProbeRequest:
+      return DecodeProbeRequest(in);
+    case kMemberList:
+      return DecodeMemberList(in);
+    case kVersionSummary:
+      return version_summary{in.at(1).get<std::uint64_t>()};
+    case kVersionDigest:
+      return DecodeVersionDigest(in);
+    case kObjectRequest:
+      return object_request{DecodeKey(in.at(1), in.at(2))};
+    case kObjectReply:
+      return DecodeObjectReply(in);
     default:
       return std::nullopt;
   }
--- a/src/protocol/settings_codec.cc
+++ b/src/protocol/settings_codec.cc
@@ -27,6 +27,20 @@
   return result;
 }
 
+std::vector<seed_peer> ReadSeeds(json_reader& reader) {
+  std::vector<seed_peer> seeds;
+  for (json_reader& each : reader.Objects("seeds")) {
+    seed_peer seed;
+    seed.name = each.RequiredString("name");
+    seed.peers.address = each.RequiredString("address");
+    seed.peers.port =
+        static_cast<std::uint16_t>(each.RequiredInteger("port", 1, kMostPort));
+    each.RefuseUnknownMembers();
+    seeds.push_back(std::move(seed));
+  }
+  return seeds;
+}
+
 milliseconds ReadTime(json_reader& reader, const std::string& key,
                       milliseconds fallback) {
   return milliseconds(
@@ -85,6 +99,7 @@
   result.operators = ReadEndpoint(reader.Object("operators"));
   result.peers = ReadEndpoint(reader.Object("peers"));
   result.platform = ReadEndpoint(reader.Object("platform"));
+  result.seeds = ReadSeeds(reader);
   result.peer_key = reader.RequiredString("peer_key");
   if (!result.peer_key.empty() && result.peer_key.size() < kShortestPeerKey) {
     reader.AddFault(
--- a/src/state/instance_settings.h
+++ b/src/state/instance_settings.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "state/identity.h"
 
@@ -30,14 +31,21 @@
   std::chrono::milliseconds idle_timeout{60000};
 };
 
+/// A peer to ask when the platform cannot name any.
+struct seed_peer {
+  std::string name;
+  endpoint peers;
+};
+
 /// The settings file of one instance, checked as a whole before it starts.
 struct instance_settings {
   std::string name;
   std::string data_centre;
-  endpoint callers;      ///< HTTP for callers.
-  endpoint operators;    ///< HTTP for metrics, status and orders.
-  endpoint peers;        ///< Peer links from other instances.
-  endpoint platform;     ///< The Object API.
+  endpoint callers;    ///< HTTP for callers.
+  endpoint operators;  ///< HTTP for metrics, status and orders.
+  endpoint peers;      ///< Peer links from other instances.
+  endpoint platform;   ///< The Object API.
+  std::vector<seed_peer> seeds;
   std::string peer_key;  ///< Shared by all instances; never logged.
   std::chrono::milliseconds platform_timeout{1000};
   double platform_calls_per_second = 5.0;
--- a/src/state/member.h
+++ b/src/state/member.h
@@ -16,7 +16,7 @@
   kSuspect,       ///< Did not answer; may still refute.
   kDeadUnproven,  ///< Silent past the suspicion time; may only be frozen.
   kDeadProven,    ///< Its address refuses connections: the process is gone.
-  kLeft,          ///< Announced its own end.
+  kLeft,          ///< Announced its own end; its process may still run.
 };
 
 /// Returns the wire name of `state`, such as "dead_unproven".
@@ -31,6 +31,14 @@
   monotonic_time since;          ///< When `state` began, by this clock.
 };
 
+/// What one instance tells another about a member; see member_table.
+struct member_update {
+  instance_identity identity;
+  endpoint peers;
+  member_state state = member_state::kAlive;
+  std::uint32_t refutation = 0;
+};
+
 }  // namespace papayaglade
 
 #endif  // PAPAYAGLADE_STATE_MEMBER_H_
