--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -4,10 +4,12 @@
 
 #include <chrono>
 #include <future>
+#include <thread>
 #include <utility>
 
 #include "app/control_duty.h"
 #include "app/metrics_registry.h"
+#include "app/operators_port.h"
 #include "app/readiness.h"
 #include "app/router_duty.h"
 #include "app/steward_duty.h"
@@ -29,6 +31,7 @@
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 constexpr std::chrono::milliseconds kQuietBeforeClose{500};
+constexpr std::chrono::milliseconds kRingPause{1};
 
 // Lives of one name are ordered by their start, so that each peer knows which
 // one replaced the other. Only a new process reads the wall clock.
@@ -58,6 +61,8 @@
                   metrics_, steward_ring_),
         control_(settings_, self_, timer_, peers_, platform_, router_ring_,
                  steward_ring_, readiness_, metrics_, control_ring_),
+        operators_(settings_, self_, router_ring_, steward_ring_, control_ring_,
+                   peers_, readiness_, metrics_),
         callers_("callers", settings_.limits,
                  [this](const http_request& request,
                         const http_server::responder& respond) {
@@ -69,6 +74,8 @@
     if (!failed.empty()) return BindFailure("callers", failed);
     failed = peers_.Listen(settings_.peers);
     if (!failed.empty()) return BindFailure("peers", failed);
+    failed = operators_.Start();
+    if (!failed.empty()) return BindFailure("operators", failed);
     timer_.Start();
     upstreams_.Start();
     platform_.Start();
@@ -82,11 +89,51 @@
     return "";
   }
 
+  // New work stays away first (the balancer notices, stewardships are handed
+  // over), then accepted work ends, from the callers inwards.
   void Shutdown() {
-    std::promise<void> drained;
-    callers_.Drain(kQuietBeforeClose, [&drained] { drained.set_value(); });
-    drained.get_future().wait_for(settings_.coordination.shutdown_bound);
+    const monotonic_time end =
+        timer_.Now() + settings_.coordination.shutdown_bound;
+    readiness_.BeginShutdown();
+    std::future<void> handed_over = Drain(control_ring_);
+    std::this_thread::sleep_for(settings_.coordination.balancer_notice);
+    Await(handed_over, end, "control");
+    std::future<void> callers_done = DrainCallers();
+    Await(callers_done, end, "callers");
+    std::future<void> queries_done = Drain(router_ring_);
+    Await(queries_done, end, "router");
+    std::future<void> upstreams_done = Drain(steward_ring_);
+    Await(upstreams_done, end, "stewards");
+    Stop();
+  }
+
+ private:
+  template <typename Ring>
+  static std::future<void> Drain(Ring& ring) {
+    const auto done = std::make_shared<std::promise<void>>();
+    std::future<void> finished = done->get_future();
+    const drain_event event{[done] { done->set_value(); }};
+    // A full ring empties soon: its duty is still running.
+    while (!ring.TryPush(event)) std::this_thread::sleep_for(kRingPause);
+    return finished;
+  }
+
+  std::future<void> DrainCallers() {
+    const auto done = std::make_shared<std::promise<void>>();
+    std::future<void> finished = done->get_future();
+    callers_.Drain(kQuietBeforeClose, [done] { done->set_value(); });
+    return finished;
+  }
+
+  static void Await(const std::future<void>& finished, monotonic_time end,
+                    const char* duty) {
+    if (finished.wait_until(end) == std::future_status::ready) return;
+    LOG(ERROR) << "event=shutdown_bound_passed duty=" << duty;
+  }
+
+  void Stop() {
     callers_.Stop();
+    operators_.Stop();
     control_.Stop();
     router_.Stop();
     stewards_.Stop();
@@ -96,7 +143,6 @@
     timer_.Stop();
   }
 
- private:
   static std::string BindFailure(const std::string& port,
                                  const std::string& why) {
     return "cannot listen for " + port + ": " + why +
@@ -156,6 +202,7 @@
   router_duty router_;
   steward_duty stewards_;
   control_duty control_;
+  operators_port operators_;
   std::uint64_t last_request_ = 0;  // Only touched on the callers thread.
   http_server callers_;
 };
