Test membership, spread and platform client; prove refusals by a dial

Cause: websocketpp reports any failed connect alike, so a killed process was never proven gone (seen in a live run: dead_unproven after kill -9). Change: a failed dial is followed by a bare connect, whose refusal is the proof; it is reported for the life that was dialled. Dead members are no longer told to those who do not know them, which kept them listed for good (test 'a list that names the dead brings none to life'). A platform with lists but no watches is backed off from.

--- a/src/app/spread_part.cc
+++ b/src/app/spread_part.cc
@@ -103,7 +103,8 @@
       alive.push_back(each.identity.name);
     }
   }
-  spread_.SetPeers(alive, Gateways());
+  spread_.SetMembers(alive);
+  spread_.SetGateways(Gateways());
   ChooseWatchers(std::move(alive));
 }
 
--- a/src/coordination/config_spread.cc
+++ b/src/coordination/config_spread.cc
@@ -31,13 +31,15 @@
   return Accept(object, "", now);
 }
 
-void config_spread::SetPeers(std::vector<std::string> members,
-                             std::vector<std::string> gateways) {
+void config_spread::SetMembers(std::vector<std::string> members) {
   members_ = std::move(members);
-  gateways_ = std::move(gateways);
   compared_.clear();
 }
 
+void config_spread::SetGateways(std::vector<std::string> gateways) {
+  gateways_ = std::move(gateways);
+}
+
 void config_spread::OnTick(monotonic_time now) {
   std::vector<object_key> unanswered;
   for (const auto& each : wanted_) {
--- a/src/coordination/config_spread.h
+++ b/src/coordination/config_spread.h
@@ -31,10 +31,10 @@
   /// unless its version is above the highest seen and `accept` took it.
   bool Offer(const versioned_object& object, monotonic_time now);
 
-  /// `members` of the own data centre are told of changes at random;
-  /// `gateways` are the peers in other data centres that are told of all.
-  void SetPeers(std::vector<std::string> members,
-                std::vector<std::string> gateways);
+  /// Members of the own data centre; a few, at random, are told of a change.
+  void SetMembers(std::vector<std::string> members);
+  /// Peers in other data centres that are told of every change.
+  void SetGateways(std::vector<std::string> gateways);
 
   void OnTick(monotonic_time now);
   void OnMessage(const std::string& from, const control_message& message,
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -21,11 +21,17 @@
 constexpr std::size_t kHintsPerTick = 3;
 constexpr milliseconds kAskAgain{2000};
 // A list of all members corrects what gossip has missed.
-constexpr seconds kComparisonPeriod{30};
+constexpr milliseconds kFirstComparison{1000};
+constexpr milliseconds kComparisonPeriod{30000};
 constexpr seconds kForgetProven{60};
 constexpr std::chrono::minutes kForgetUnproven{30};
 constexpr std::size_t kMostPending = 1024;
 
+bool IsDead(member_state state) {
+  return state == member_state::kDeadUnproven ||
+         state == member_state::kDeadProven;
+}
+
 }  // namespace
 
 membership::membership(member_update self, std::string data_centre,
@@ -33,7 +39,8 @@
     : self_(std::move(self)),
       data_centre_(std::move(data_centre)),
       settings_(settings),
-      random_(seed) {
+      random_(seed),
+      comparison_wait_(kFirstComparison, kComparisonPeriod) {
   updates_.Add(self_);
 }
 
@@ -171,9 +178,7 @@
 }
 
 void membership::CompareLists(monotonic_time now) {
-  next_comparison_ =
-      now + kComparisonPeriod / 2 +
-      milliseconds(random_() % milliseconds(kComparisonPeriod).count());
+  next_comparison_ = now + comparison_wait_.Next(random_);
   ForgetDead(now);
   for (const std::string& peer : RandomAlive(1, "")) SendList(peer, true);
 }
@@ -285,6 +290,8 @@
                        monotonic_time now) {
   if (update.identity.name == self_.identity.name) return LearnOfSelf(update);
   const member* known = table_.Find(update.identity.name);
+  // Members would else go on reminding each other of the dead for good.
+  if (known == nullptr && IsDead(update.state)) return;
   const bool moved = known == nullptr || known->identity != update.identity;
   if (!table_.Apply(update, now)) return;
   changed_ = true;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/backoff.h"
 #include "coordination/member_table.h"
 #include "coordination/peer_action.h"
 #include "coordination/update_queue.h"
@@ -99,6 +100,7 @@
   std::string data_centre_;
   membership_settings settings_;
   std::mt19937_64 random_;
+  backoff comparison_wait_;  // Short while this instance is new.
   member_table table_;
   update_queue updates_;
   std::map<std::uint64_t, pending_probe> pending_;
--- a/src/coordination/object_feed.cc
+++ b/src/coordination/object_feed.cc
@@ -59,7 +59,8 @@
     due_ = now + wait_.Next(random_);
     return;
   }
-  wait_.Reset();
+  // A platform that serves lists but no watches is still backed off from.
+  if (last_watched_ || !watching_) wait_.Reset();
   due_ = watching_ ? now : next_list_;
 }
 
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -16,6 +16,7 @@
 #include "protocol/peer_codec.h"
 #include "transport/io_inbox.h"
 #include "transport/io_thread.h"
+#include "transport/refusal_check.h"
 
 namespace papayaglade {
 
@@ -33,6 +34,7 @@
 constexpr std::size_t kMostWaitingMessages = 4096;
 constexpr std::size_t kMostLinks = 2048;
 constexpr long kHandshakeTimeoutMs = 1000;
+constexpr std::chrono::milliseconds kRefusalTimeout{500};
 constexpr std::chrono::milliseconds kLinkCheckPeriod{100};
 // A link with unanswered work is asked for a pong after the first time and
 // replaced after the second.
@@ -151,6 +153,10 @@
     bool dialling = false;
     std::deque<waiting_message> waiting;  ///< Until a link is up.
   };
+  struct dialled_peer {
+    instance_identity peer;
+    endpoint address;
+  };
   using link_map = std::map<link_handle, link, std::owner_less<link_handle>>;
 
   template <typename Endpoint>
@@ -182,40 +188,42 @@
 
   void DialPeer(const std::string& peer, peer_state& state) {
     if (state.address.port == 0) {
-      return OnDialFailed(peer, peer_link_event::link_state::kClosed);
+      return OnDialFailed({peer, state.incarnation},
+                          peer_link_event::link_state::kClosed);
     }
     const std::string uri = "ws://" + state.address.address + ":" +
                             std::to_string(state.address.port) + "/";
     websocketpp::lib::error_code failed;
     const auto connection = client_.get_connection(uri, failed);
     if (failed) {
-      return OnDialFailed(peer, peer_link_event::link_state::kClosed);
+      return OnDialFailed({peer, state.incarnation},
+                          peer_link_event::link_state::kClosed);
     }
     state.dialling = true;
     connection->set_open_handler([this, peer](const link_handle& handle) {
       AddLink(handle, true, peer);
     });
-    connection->set_fail_handler([this, peer](const link_handle& handle) {
-      OnDialFailed(peer, DialFailure(handle));
-    });
+    const dialled_peer dialled{{peer, state.incarnation}, state.address};
+    connection->set_fail_handler(
+        [this, dialled](const link_handle&) { LearnWhyFailed(dialled); });
     client_.connect(connection);
   }
 
-  peer_link_event::link_state DialFailure(const link_handle& handle) {
-    websocketpp::lib::error_code ignored;
-    const auto connection = client_.get_con_from_hdl(handle, ignored);
-    if (!connection) return peer_link_event::link_state::kClosed;
-    const auto refused = boost::asio::error::make_error_code(
-        boost::asio::error::connection_refused);
-    if (connection->get_transport_ec() == refused) {
-      return peer_link_event::link_state::kRefused;
-    }
-    return peer_link_event::link_state::kSilent;
+  // The library does not pass on why a connection failed, and only a refusal
+  // proves the process gone. The life that was dialled is reported, even if a
+  // newer one has the name by now.
+  void LearnWhyFailed(const dialled_peer& dialled) {
+    CheckRefusal(thread_.Io(), dialled.address, kRefusalTimeout,
+                 [this, peer = dialled.peer](bool refused) {
+                   OnDialFailed(peer,
+                                refused ? peer_link_event::link_state::kRefused
+                                        : peer_link_event::link_state::kSilent);
+                 });
   }
 
-  void OnDialFailed(const std::string& peer,
+  void OnDialFailed(const instance_identity& peer,
                     peer_link_event::link_state state) {
-    peer_state& dialled = peers_[peer];
+    peer_state& dialled = peers_[peer.name];
     dialled.dialling = false;
     dialled.waiting.clear();
     Report(peer, state);
--- /dev/null
+++ b/tests/unit/virtual_group.h
@@ -0,0 +1,113 @@
+#ifndef PAPAYAGLADE_TESTS_UNIT_VIRTUAL_GROUP_H_
+#define PAPAYAGLADE_TESTS_UNIT_VIRTUAL_GROUP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "coordination/config_spread.h"
+#include "coordination/membership.h"
+
+namespace papayaglade {
+
+/// What one instance has sent so far, as links would carry it.
+struct traffic {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;  ///< Encoded, with frame and TCP/IP headers.
+};
+
+/// Membership and spread of many instances in virtual time, joined by links
+/// with a delay that tests cut, freeze and end.
+class virtual_group {
+ public:
+  struct instance {
+    instance_identity identity;
+    std::string data_centre;
+    endpoint address;
+    std::unique_ptr<membership> members;
+    std::unique_ptr<config_spread> spread;
+    std::vector<send_to_peer> frozen_inbox;      ///< With the senders' names.
+    std::map<std::string, std::uint64_t> known;  ///< Incarnations, by peer.
+    bool running = true;
+    bool frozen = false;
+    traffic sent;
+    /// When each version of the configuration was accepted here.
+    std::map<std::uint64_t, monotonic_time> accepted;
+  };
+
+  explicit virtual_group(std::uint64_t seed);
+
+  /// Starts a new life of `name`; an older one is ended first.
+  void Start(const std::string& name, const std::string& data_centre);
+  /// `name` hears of `other` from a list; by default of its present life.
+  void Hint(const std::string& name, const std::string& other);
+  void Kill(const std::string& name);
+  void Freeze(const std::string& name);
+  void Thaw(const std::string& name);
+  /// Loses all messages for which this is true.
+  void SetCut(std::function<bool(const std::string&, const std::string&)> cut);
+  /// Sets the peers in other data centres that `name` tells of versions.
+  void SetGateways(const std::string& name, std::vector<std::string> gateways);
+  /// Encoding costs most of the model's time, so only some runs measure it.
+  void MeasureBytes(bool measure) { measure_ = measure; }
+
+  void Offer(const std::string& name, const versioned_object& object);
+  void Advance(std::chrono::milliseconds by);
+  /// Advances until `done`, at most for `bound`; returns the time it took.
+  std::chrono::milliseconds AdvanceUntil(const std::function<bool()>& done,
+                                         std::chrono::milliseconds bound);
+
+  monotonic_time Now() const { return now_; }
+  instance& At(const std::string& name) { return instances_.at(name); }
+  std::map<std::string, instance>& All() { return instances_; }
+  /// What `name` believes of `other`'s present or last life.
+  member_state Belief(const std::string& name, const std::string& other);
+  /// Whether every running instance believes `state` of `name`.
+  bool AllBelieve(const std::string& name, member_state state);
+  /// Whether every running instance holds `version` of the configuration.
+  bool AllHold(std::uint64_t version);
+
+ private:
+  struct delivery {
+    monotonic_time at;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator>(const delivery& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  void Tick();
+  void Flush(instance& from);
+  void Perform(instance& from, const peer_action& action);
+  bool IsReached(instance& from, const std::string& peer);
+  void Carry(instance& from, const send_to_peer& action);
+  void Deliver(const instance_identity& sender, const send_to_peer& action);
+  void ReportLink(const std::string& to, const instance_identity& peer,
+                  peer_link_event::link_state state);
+  void After(std::chrono::milliseconds delay, std::function<void()> run);
+  void ChoosePeers(instance& of);
+  bool IsCut(const std::string& from, const std::string& to) const;
+
+  std::mt19937_64 random_;
+  monotonic_time now_{std::chrono::hours(1)};
+  std::uint64_t last_incarnation_ = 0;
+  std::uint64_t last_order_ = 0;
+  bool measure_ = true;
+  std::map<std::string, instance> instances_;
+  std::function<bool(const std::string&, const std::string&)> cut_;
+  std::priority_queue<delivery, std::vector<delivery>, std::greater<>> queue_;
+};
+
+/// A configuration of `size` bytes.
+versioned_object ConfigurationOf(std::uint64_t version, std::size_t size = 100);
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TESTS_UNIT_VIRTUAL_GROUP_H_
