--- a/src/state/instance_settings.h
+++ b/src/state/instance_settings.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "state/identity.h"
 
@@ -32,6 +33,12 @@
   std::chrono::milliseconds idle_timeout{60000};
 };
 
+/// A peer to ask when the platform cannot name any.
+struct seed_peer {
+  std::string name;
+  endpoint peers;
+};
+
 /// The settings file of one instance, checked as a whole before it starts.
 struct instance_settings {
   std::string name;
@@ -41,7 +48,8 @@
   endpoint peers;         ///< Where other instances dial peer links.
   endpoint peers_listen;  ///< Where they arrive, behind a port mapping.
   endpoint platform;      ///< The Object API.
-  std::string peer_key;   ///< Shared by all instances; never logged.
+  std::vector<seed_peer> seeds;
+  std::string peer_key;  ///< Shared by all instances; never logged.
   std::chrono::milliseconds platform_timeout{1000};
   double platform_calls_per_second = 5.0;
   coordination_settings coordination;
