--- a/src/app/roster_part.cc
+++ b/src/app/roster_part.cc
@@ -34,8 +34,8 @@
                                       return each.identity.name == self.name;
                                     }),
                      next.members.end());
-  next.members.push_back(
-      {self, context_.Settings().peers, context_.Settings().operators});
+  const instance_settings& settings = context_.Settings();
+  next.members.push_back({self, settings.peers, settings.operators});
   next.assignments.clear();
   const std::vector<std::string> upstreams = OwnUpstreams();
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
@@ -52,7 +52,7 @@
         const object_key key{object_kind::kRoster, next.data_centre};
         if (reply.status == platform_status::kOk) {
           context_.Offer({key, next.epoch, value});
-        } else if (reply.status == platform_status::kConflict) {
+        } else if (!reply.objects.empty()) {
           const platform_object& stored = reply.objects.front();
           context_.Offer({key, stored.version, stored.value});
         }
