--- a/tests/scenarios/runner/expectations.py
+++ b/tests/scenarios/runner/expectations.py
@@ -52,7 +52,7 @@
         names = words or list(self.topology.instances)
         self.until(bound_s, f"{names} ready", lambda: (
             all(self.system.is_ready(name) for name in names),
-            {name: self.system.is_ready(name) for name in names}))
+            {name: self.system.readiness(name) for name in names}))
 
     def expect_not_ready(self, words, _, bound_s):
         self.until(bound_s, f"{words} not ready", lambda: (
--- a/tests/scenarios/runner/system.py
+++ b/tests/scenarios/runner/system.py
@@ -93,6 +93,10 @@
             "operators": {**local, "port": self.port(f"operators/{name}")},
             "peers": {**local, "port": self.port(f"peers/{name}")},
             "platform": {**local, "port": self.port(f"platform/{name}")}}
+        settings["seeds"] = [
+            {"name": other, **local, "port": self.port(f"peers/{other}")}
+            for other, centre in self.topology.instances.items()
+            if other != name and centre == settings["data_centre"]]
         if self.topology.relays:
             settings["peers_listen"] = {**local,
                                         "port": self.port(f"listen/{name}")}
@@ -158,15 +162,19 @@
                     self.ready.discard(name)
 
     def is_ready(self, name):
+        return self.readiness(name) == "ready"
+
+    def readiness(self, name):
+        """What /ready says, or why nobody could ask."""
         process = self.processes.get(name)
         alive = process is not None and process.poll() is None
         if not alive or name in self.frozen:
-            return False
+            return "not running"
         try:
             port = self.port(f"callers/{name}")
-            return http.call(port, "GET", "/ready", timeout=0.5)[0] == 200
-        except OSError:
-            return False
+            return http.call(port, "GET", "/ready", timeout=0.5)[1].strip()
+        except OSError as failed:
+            return str(failed)
 
     def close(self):
         self.closing.set()
