--- /dev/null
+++ b/src/coordination/assignment.cc
@@ -0,0 +1,179 @@
+#include "coordination/assignment.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <unordered_map>
+
+namespace papayaglade {
+
+namespace {
+
+// A service is spread over at least this many stewards, so that one death
+// leaves most of a small service covered.
+constexpr std::size_t kLeastStewardsOfService = 4;
+
+constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
+constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
+constexpr std::uint64_t kMixFactor = 0xff51afd7ed558ccdULL;
+constexpr unsigned kMixShift = 33;
+
+// Every build must agree on the hash, which std::hash does not promise.
+std::uint64_t Hash(const std::string& text, std::uint64_t seed) {
+  std::uint64_t hash = seed;
+  for (const char each : text) {
+    hash = (hash ^ static_cast<unsigned char>(each)) * kFnvPrime;
+  }
+  hash = (hash ^ (hash >> kMixShift)) * kMixFactor;
+  return hash ^ (hash >> kMixShift);
+}
+
+std::uint64_t Hash(const std::string& text) { return Hash(text, kFnvOffset); }
+
+class assigner {
+ public:
+  assigner(const std::vector<assignable_upstream>& upstreams,
+           const std::vector<std::string>& members)
+      : members_(members), load_(members.size(), 0) {
+    std::sort(members_.begin(), members_.end());
+    for (std::size_t i = 0; i < members_.size(); ++i) index_[members_[i]] = i;
+    floor_ = upstreams.size() / members_.size();
+    cap_ = floor_ + (upstreams.size() % members_.size() == 0 ? 0 : 1);
+    for (const assignable_upstream& each : upstreams) {
+      ++size_of_service_[each.service];
+    }
+    for (const assignable_upstream& each : upstreams) {
+      entries_[each.name].key = AffinityKey(each);
+    }
+  }
+
+  void Keep(const std::vector<steward_assignment>& previous) {
+    for (const steward_assignment& each : previous) {
+      const auto entry = entries_.find(each.upstream);
+      const auto member = index_.find(each.steward);
+      if (entry == entries_.end() || member == index_.end()) continue;
+      Place(entry->second, member->second);
+      entry->second.since_epoch = each.since_epoch;
+      entry->second.kept_by = member->second;
+    }
+    ShedOverCap();
+  }
+
+  void Fill() {
+    for (auto& [name, entry] : entries_) {
+      if (entry.member == kNobody) Place(entry, BestBelow(entry, cap_));
+    }
+    RaiseToFloor();
+  }
+
+  std::vector<steward_assignment> Result(std::uint64_t epoch) const {
+    std::vector<steward_assignment> result;
+    result.reserve(entries_.size());
+    for (const auto& [name, entry] : entries_) {
+      const bool kept = entry.member == entry.kept_by;
+      result.push_back(
+          {name, members_[entry.member], kept ? entry.since_epoch : epoch});
+    }
+    return result;
+  }
+
+ private:
+  static constexpr std::size_t kNobody = SIZE_MAX;
+
+  struct entry {
+    std::uint64_t key = 0;
+    std::size_t member = kNobody;
+    std::size_t kept_by = kNobody;
+    std::uint64_t since_epoch = 0;
+  };
+
+  // Upstreams with equal keys prefer the same members in the same order, which
+  // keeps a large service on few stewards.
+  std::uint64_t AffinityKey(const assignable_upstream& upstream) const {
+    const std::uint64_t own = Hash(upstream.name);
+    const std::size_t size = size_of_service_.at(upstream.service);
+    if (size <= kLeastStewardsOfService || cap_ == 0) return own;
+    const std::size_t groups =
+        std::max(kLeastStewardsOfService, (size + cap_ - 1) / cap_);
+    return Hash(std::to_string(own % groups), Hash(upstream.service));
+  }
+
+  std::uint64_t Score(const entry& upstream, std::size_t member) const {
+    return Hash(members_[member], upstream.key);
+  }
+
+  void Place(entry& upstream, std::size_t member) {
+    upstream.member = member;
+    ++load_[member];
+  }
+
+  void Move(entry& upstream, std::size_t member) {
+    --load_[upstream.member];
+    Place(upstream, member);
+  }
+
+  std::size_t BestBelow(const entry& upstream, std::size_t bound) const {
+    std::size_t best = kNobody;
+    std::uint64_t best_score = 0;
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+      if (load_[i] >= bound) continue;
+      const std::uint64_t score = Score(upstream, i);
+      if (best != kNobody && score <= best_score) continue;
+      best = i;
+      best_score = score;
+    }
+    return best;
+  }
+
+  // Only as many members may hold the cap as the even spread has.
+  void ShedOverCap() {
+    for (auto& [name, entry] : entries_) {
+      if (entry.member == kNobody || load_[entry.member] <= cap_) continue;
+      --load_[entry.member];
+      entry.member = kNobody;
+    }
+  }
+
+  // A member that has just joined gets its share from the fullest ones.
+  void RaiseToFloor() {
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+      while (load_[i] < floor_) Move(*BestAboveFloor(i), i);
+    }
+  }
+
+  entry* BestAboveFloor(std::size_t taker) {
+    entry* best = nullptr;
+    std::uint64_t best_score = 0;
+    for (auto& [name, entry] : entries_) {
+      if (load_[entry.member] <= floor_) continue;
+      const std::uint64_t score = Score(entry, taker);
+      if (best != nullptr && score <= best_score) continue;
+      best = &entry;
+      best_score = score;
+    }
+    return best;
+  }
+
+  std::vector<std::string> members_;
+  std::vector<std::size_t> load_;
+  std::unordered_map<std::string, std::size_t> index_;
+  std::unordered_map<std::string, std::size_t> size_of_service_;
+  std::map<std::string, entry> entries_;  // Ordered, so that all agree.
+  std::size_t floor_ = 0;
+  std::size_t cap_ = 0;
+};
+
+}  // namespace
+
+std::vector<steward_assignment> AssignStewards(
+    const std::vector<assignable_upstream>& upstreams,
+    const std::vector<std::string>& members,
+    const std::vector<steward_assignment>& previous, std::uint64_t epoch) {
+  if (members.empty()) return {};
+  assigner work(upstreams, members);
+  work.Keep(previous);
+  work.Fill();
+  return work.Result(epoch);
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/handover_exchange.h
@@ -0,0 +1,42 @@
+#ifndef PAPAYAGLADE_COORDINATION_HANDOVER_EXCHANGE_H_
+#define PAPAYAGLADE_COORDINATION_HANDOVER_EXCHANGE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "state/control_message.h"
+#include "state/time.h"
+
+namespace papayaglade {
+
+/// A control message for one peer.
+struct send_to_peer {
+  std::string peer;
+  control_message message;
+};
+
+/// Repeats hand-overs until the new stewards acknowledge them, within a bound.
+class handover_exchange {
+ public:
+  void Add(const std::string& steward, stewardship_handover message,
+           monotonic_time now);
+  void OnAcknowledged(const std::string& steward, std::uint64_t epoch);
+  /// Messages to send now.
+  std::vector<send_to_peer> Due(monotonic_time now);
+  bool Idle() const { return open_.empty(); }
+
+ private:
+  struct open_handover {
+    std::string steward;
+    stewardship_handover message;
+    monotonic_time next;
+    monotonic_time give_up;
+  };
+
+  std::vector<open_handover> open_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_HANDOVER_EXCHANGE_H_
--- /dev/null
+++ b/src/coordination/standing_proof.cc
@@ -0,0 +1,68 @@
+#include "coordination/standing_proof.h"
+
+#include <algorithm>
+
+namespace papayaglade {
+
+void standing_proof::AddPlatformProof(monotonic_time sent) {
+  platform_ = std::max(platform_.value_or(sent), sent);
+}
+
+void standing_proof::AddConfirmation(const instance_identity& peer,
+                                     monotonic_time sent) {
+  for (confirmation& each : confirmations_) {
+    if (each.peer != peer) continue;
+    each.sent = std::max(each.sent, sent);
+    return;
+  }
+  confirmations_.push_back({peer, sent});
+}
+
+std::optional<monotonic_time> standing_proof::ConfirmedAt(
+    const instance_identity& peer) const {
+  for (const confirmation& each : confirmations_) {
+    if (each.peer == peer) return each.sent;
+  }
+  return std::nullopt;
+}
+
+// A taker refuses to confirm, so a round that lacks any required member might
+// lack just the taker.
+void standing_proof::CountConfirmations(
+    const std::vector<instance_identity>& required) {
+  const auto is_required = [&required](const confirmation& each) {
+    return std::find(required.begin(), required.end(), each.peer) !=
+           required.end();
+  };
+  confirmations_.erase(
+      std::remove_if(confirmations_.begin(), confirmations_.end(),
+                     [&is_required](const confirmation& each) {
+                       return !is_required(each);
+                     }),
+      confirmations_.end());
+  if (required.empty() || confirmations_.size() < required.size()) return;
+  const auto oldest =
+      std::min_element(confirmations_.begin(), confirmations_.end(),
+                       [](const confirmation& a, const confirmation& b) {
+                         return a.sent < b.sent;
+                       });
+  peers_ = std::max(peers_.value_or(oldest->sent), oldest->sent);
+}
+
+monotonic_time standing_proof::ProvenUntil() const {
+  if (!platform_) return monotonic_time{};
+  monotonic_time base = *platform_;
+  if (peers_) {
+    // Takers that cannot reach the others count on this bound.
+    base = std::max(base, std::min(*peers_, base + timing_.peer_horizon));
+  }
+  return base + timing_.lease;
+}
+
+std::optional<std::chrono::microseconds> standing_proof::PlatformProofAge(
+    monotonic_time now) const {
+  if (!platform_) return std::nullopt;
+  return std::chrono::ceil<std::chrono::microseconds>(now - *platform_);
+}
+
+}  // namespace papayaglade
--- a/src/protocol/configuration_codec.cc
+++ b/src/protocol/configuration_codec.cc
@@ -151,6 +151,32 @@
   }
 }
 
+json MembersToJson(const std::vector<roster_member>& members) {
+  json out = json::array();
+  for (const roster_member& each : members) {
+    out.push_back({{"name", each.identity.name},
+                   {"incarnation", each.identity.incarnation},
+                   {"address", each.peers.address},
+                   {"port", each.peers.port},
+                   {"joined_epoch", each.joined_epoch}});
+  }
+  return out;
+}
+
+std::vector<roster_member> MembersFromJson(const json& in) {
+  std::vector<roster_member> members;
+  for (const json& each : in) {
+    roster_member member;
+    each.at("name").get_to(member.identity.name);
+    each.at("incarnation").get_to(member.identity.incarnation);
+    each.at("address").get_to(member.peers.address);
+    each.at("port").get_to(member.peers.port);
+    each.at("joined_epoch").get_to(member.joined_epoch);
+    members.push_back(std::move(member));
+  }
+  return members;
+}
+
 }  // namespace
 
 service_definition ParseServiceFile(const std::string& file,
@@ -235,20 +261,16 @@
 }
 
 std::string FormatRoster(const roster& value) {
-  json members = json::array();
-  for (const roster_member& each : value.members) {
-    members.push_back({{"name", each.identity.name},
-                       {"incarnation", each.identity.incarnation},
-                       {"address", each.peers.address},
-                       {"port", each.peers.port}});
-  }
   json assignments = json::object();
   for (const steward_assignment& each : value.assignments) {
-    assignments[each.upstream] = each.steward;
+    assignments[each.upstream] = json::array({each.steward, each.since_epoch});
   }
   const json out = {{"epoch", value.epoch},
-                    {"members", std::move(members)},
-                    {"assignments", std::move(assignments)}};
+                    {"configuration_version", value.configuration_version},
+                    {"members", MembersToJson(value.members)},
+                    {"assignments", std::move(assignments)},
+                    {"retired", MembersToJson(value.retired)},
+                    {"writer", value.writer}};
   return out.dump();
 }
 
@@ -258,16 +280,15 @@
     roster result;
     result.data_centre = data_centre;
     in.at("epoch").get_to(result.epoch);
-    for (const json& each : in.at("members")) {
-      result.members.push_back({{each.at("name").get<std::string>(),
-                                 each.at("incarnation").get<std::uint64_t>()},
-                                {each.at("address").get<std::string>(),
-                                 each.at("port").get<std::uint16_t>()}});
-    }
+    in.at("configuration_version").get_to(result.configuration_version);
+    result.members = MembersFromJson(in.at("members"));
     for (const auto& each : in.at("assignments").items()) {
-      result.assignments.push_back(
-          {each.key(), each.value().get<std::string>()});
+      result.assignments.push_back({each.key(),
+                                    each.value().at(0).get<std::string>(),
+                                    each.value().at(1).get<std::uint64_t>()});
     }
+    result.retired = MembersFromJson(in.at("retired"));
+    in.at("writer").get_to(result.writer);
     return result;
   });
 }
--- a/src/state/cluster_view.h
+++ b/src/state/cluster_view.h
@@ -16,21 +16,27 @@
 /// One instance of the query tier as its data centre's roster names it.
 struct roster_member {
   instance_identity identity;
-  endpoint peers;  ///< Where the instance accepts peer links.
+  endpoint peers;                  ///< Where the instance accepts peer links.
+  std::uint64_t joined_epoch = 0;  ///< Member without a break since then.
 };
 
 /// Which instance is steward of one upstream.
 struct steward_assignment {
   std::string upstream;
   std::string steward;  ///< Instance name; always a member of the roster.
+  std::uint64_t since_epoch = 0;  ///< The same process since this epoch.
 };
 
 /// Members and assignments of one data centre, agreed through the platform.
 struct roster {
   std::string data_centre;
   std::uint64_t epoch = 0;
+  std::uint64_t configuration_version = 0;  ///< That named the upstreams.
   std::vector<roster_member> members;
   std::vector<steward_assignment> assignments;
+  /// Former members whose process is not proven gone.
+  std::vector<roster_member> retired;
+  std::string writer;  ///< Settles a write whose answer was lost.
 };
 
 /// An operator's order about a data centre; the highest generation holds.
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -154,12 +154,6 @@
   monotonic_time fenced_until;
 };
 
-/// State of an upstream handed over by its last steward.
-struct handover {
-  std::string upstream;
-  std::string state;  ///< Encoded by the stewards duty, opaque to others.
-};
-
 struct handover_event {
   std::vector<handover> upstreams;
 };
