Explore stewardship under random faults with replayable seeds

Cause: the wait of a taker has many cases (crash, freeze, cut, platform out, lost answers, restart, leave), and no hand-written test covers their interleavings.

--- a/src/coordination/stewardship.cc
+++ b/src/coordination/stewardship.cc
@@ -33,6 +33,13 @@
   return "";
 }
 
+std::uint64_t SinceEpoch(const roster& from, const std::string& upstream) {
+  for (const steward_assignment& each : from.assignments) {
+    if (each.upstream == upstream) return each.since_epoch;
+  }
+  return 0;
+}
+
 }  // namespace
 
 stewardship::stewardship(const roster_member& self,
@@ -115,16 +122,19 @@
     }
   }
   release_upstreams release{found.epoch, {}};
-  std::set<std::string> unfenced;
+  std::set<std::string> vouched;
   for (const auto& [upstream, since] : own_) {
     const auto still = kept.find(upstream);
     if (still != kept.end() && still->second == since) continue;
     release.upstreams.push_back(upstream);
     const auto clear = fence_.ClearAt(upstream);
-    if (clear && *clear <= now) unfenced.insert(upstream);
+    // One that was itself fenced, or that missed a steward between, cannot
+    // vouch that nobody else sends.
+    const bool direct = SinceEpoch(found, upstream) == newest_.epoch + 1;
+    if (direct && clear && *clear <= now) vouched.insert(upstream);
   }
   if (release.upstreams.empty()) return;
-  releasing_[found.epoch] = std::move(unfenced);
+  releasing_[found.epoch] = std::move(vouched);
   actions_.emplace_back(std::move(release));
 }
 
@@ -132,12 +142,11 @@
                              monotonic_time now) {
   const auto released = releasing_.find(epoch);
   if (released == releasing_.end()) return;
-  const std::set<std::string> unfenced = std::move(released->second);
+  const std::set<std::string> vouched = std::move(released->second);
   releasing_.erase(released);
   std::map<std::string, stewardship_handover> by_steward;
   for (handover& each : states) {
-    // One that was itself fenced cannot vouch for the stewards before it.
-    if (unfenced.count(each.upstream) == 0) continue;
+    if (vouched.count(each.upstream) == 0) continue;
     const std::string steward = StewardOf(newest_, each.upstream);
     if (steward.empty() || steward == self_.identity.name) continue;
     stewardship_handover& message = by_steward[steward];
--- a/src/coordination/takeover_fence.cc
+++ b/src/coordination/takeover_fence.cc
@@ -10,14 +10,22 @@
 // Nobody can have been steward before the first roster.
 constexpr std::uint64_t kFirstEpoch = 1;
 
+bool Lists(const roster& value, const instance_identity& identity) {
+  const auto is_it = [&identity](const roster_member& each) {
+    return each.identity == identity;
+  };
+  return std::any_of(value.members.begin(), value.members.end(), is_it) ||
+         std::any_of(value.retired.begin(), value.retired.end(), is_it);
+}
+
 }  // namespace
 
 void takeover_fence::Adopt(const roster& newest, monotonic_time now) {
-  AdoptRivals(newest);
+  AdoptRivals(newest, now);
   AdoptUpstreams(newest, now);
 }
 
-void takeover_fence::AdoptRivals(const roster& newest) {
+void takeover_fence::AdoptRivals(const roster& newest, monotonic_time now) {
   std::uint64_t joined = 0;
   std::map<std::uint64_t, rival> rivals;
   const auto keep = [&](const roster_member& each, bool retired) {
@@ -33,6 +41,16 @@
     keep(each, false);
   }
   for (const roster_member& each : newest.retired) keep(each, true);
+  // A process that no list names any more has been proven gone, but what it
+  // sent may still run.
+  const auto run_out = WithClockMargin(timing_.longest_request);
+  for (const auto& [incarnation, known] : rivals_) {
+    if (known.gone_at && *known.gone_at + run_out <= now) continue;
+    rival& ended = rivals.emplace(incarnation, known).first->second;
+    if (Lists(newest, ended.member.identity)) continue;
+    ended.retired = true;
+    ended.gone_at = ended.gone_at.value_or(now);
+  }
   rivals_ = std::move(rivals);
   if (joined == joined_epoch_) return;
   joined_epoch_ = joined;
--- a/src/coordination/takeover_fence.h
+++ b/src/coordination/takeover_fence.h
@@ -55,7 +55,7 @@
     bool handed_over = false;
   };
 
-  void AdoptRivals(const roster& newest);
+  void AdoptRivals(const roster& newest, monotonic_time now);
   void AdoptUpstreams(const roster& newest, monotonic_time now);
   monotonic_time ClearOf(const rival& other,
                          const gained_upstream& gained) const;
--- /dev/null
+++ b/tests/unit/exploration_world.h
@@ -0,0 +1,88 @@
+#ifndef PAPAYAGLADE_TESTS_UNIT_EXPLORATION_WORLD_H_
+#define PAPAYAGLADE_TESTS_UNIT_EXPLORATION_WORLD_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/stewardship.h"
+
+namespace papayaglade {
+
+/// A few real stewardship machines over a fake platform, network and cold
+/// upstreams, in virtual time, with faults drawn from one seed.
+class exploration_world {
+ public:
+  explicit exploration_world(std::uint64_t seed);
+
+  /// Plays faults, then heals everything and waits for calm. Returns the
+  /// first broken invariant, or an empty text.
+  std::string Run();
+
+ private:
+  struct process {
+    instance_identity identity;
+    std::unique_ptr<stewardship> machine;
+    bool running = true;
+    bool frozen = false;
+    bool leaving = false;
+    bool platform_cut = false;
+    std::deque<std::function<void()>> held;  ///< Events while frozen.
+    standing_update standing;                ///< As its stewards duty has it.
+    std::map<std::string, monotonic_time> busy_until;
+    std::map<std::string, monotonic_time> unreachable_since;  ///< By peer.
+    std::uint64_t highest_epoch = 0;
+  };
+
+  void At(std::chrono::milliseconds delay, std::function<void()> what);
+  void AtProcess(std::chrono::milliseconds delay, process& target,
+                 std::function<void()> what);
+  void RunUntil(monotonic_time end);
+  void Heal();
+  void Fault();
+  void Start(const std::string& name);
+  void Stop(process& target);
+  void Tick(process& each);
+  void Observe(process& each);
+  void Carry(process& from);
+  void Perform(process& from, send_to_peer action);
+  void Perform(process& from, read_roster action);
+  void Perform(process& from, write_roster action);
+  void Perform(process& from, standing_update action);
+  void Perform(process& from, release_upstreams action);
+  void Perform(process& from, handover_event action);
+  void Perform(process& from, leave_finished action);
+  void Answer(process& to, bool write, roster_answer answer);
+  void Send(process& from);
+  void Check();
+  bool MaySend(const process& each, const std::string& upstream) const;
+  bool Reachable(const process& a, const process& b) const;
+  process* Running(const std::string& name);
+  process* Any(const std::function<bool(const process&)>& wanted);
+  int Draw(int below);
+
+  std::mt19937_64 random_;
+  stewardship_timing timing_;
+  monotonic_time now_{std::chrono::hours(1)};
+  std::multimap<monotonic_time, std::function<void()>> events_;
+  std::vector<std::unique_ptr<process>> processes_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  bool platform_up_ = true;
+  int lost_answers_ = 0;  ///< In 100.
+  std::uint64_t version_ = 0;
+  roster stored_;
+  std::uint64_t configuration_ = 1;
+  std::vector<assignable_upstream> upstreams_;
+  std::map<std::string, std::vector<monotonic_time>> in_flight_;
+  std::uint64_t last_incarnation_ = 0;
+  std::string broken_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TESTS_UNIT_EXPLORATION_WORLD_H_
