--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -174,6 +174,10 @@
   const std::string reason = ReasonNotReady();
   view_.ready = reason.empty();
   readiness_.SetReady(view_.ready, reason);
+  if (view_.config != nullptr) {
+    metrics_.Set(gauge_metric::kConfiguration, "version",
+                 static_cast<double>(view_.config->version));
+  }
   const auto view = std::make_shared<const cluster_view>(view_);
   // A full ring keeps the change for the next event.
   const bool routed = router_.TryPush(view_update{view});
--- a/src/protocol/configuration_codec.cc
+++ b/src/protocol/configuration_codec.cc
@@ -261,6 +261,18 @@
 }
 
 std::string FormatRoster(const roster& value) {
+<<<<<<< HEAD
+=======
+  json members = json::array();
+  for (const roster_member& each : value.members) {
+    members.push_back({{"name", each.identity.name},
+                       {"incarnation", each.identity.incarnation},
+                       {"address", each.peers.address},
+                       {"port", each.peers.port},
+                       {"operators_address", each.operators.address},
+                       {"operators_port", each.operators.port}});
+  }
+>>>>>>> main
   json assignments = json::object();
   for (const steward_assignment& each : value.assignments) {
     assignments[each.upstream] = json::array({each.steward, each.since_epoch});
@@ -280,8 +292,20 @@
     roster result;
     result.data_centre = data_centre;
     in.at("epoch").get_to(result.epoch);
+<<<<<<< HEAD
     in.at("configuration_version").get_to(result.configuration_version);
     result.members = MembersFromJson(in.at("members"));
+=======
+    for (const json& each : in.at("members")) {
+      result.members.push_back(
+          {{each.at("name").get<std::string>(),
+            each.at("incarnation").get<std::uint64_t>()},
+           {each.at("address").get<std::string>(),
+            each.at("port").get<std::uint16_t>()},
+           {each.value("operators_address", ""),
+            each.value("operators_port", std::uint16_t{0})}});
+    }
+>>>>>>> main
     for (const auto& each : in.at("assignments").items()) {
       result.assignments.push_back({each.key(),
                                     each.value().at(0).get<std::string>(),
--- a/src/protocol/settings_codec.cc
+++ b/src/protocol/settings_codec.cc
@@ -51,6 +51,8 @@
       ReadTime(reader, "longest_request_ms", result.longest_request);
   result.shutdown_bound =
       ReadTime(reader, "shutdown_bound_ms", result.shutdown_bound);
+  result.balancer_notice =
+      ReadTime(reader, "balancer_notice_ms", result.balancer_notice);
   if (result.probe_timeout >= result.probe_period) {
     reader.AddFault("probe_timeout_ms", "not shorter than probe_period_ms",
                     "lower it or raise probe_period_ms");
@@ -84,6 +86,9 @@
   result.callers = ReadEndpoint(reader.Object("callers"));
   result.operators = ReadEndpoint(reader.Object("operators"));
   result.peers = ReadEndpoint(reader.Object("peers"));
+  result.peers_listen = reader.Has("peers_listen")
+                            ? ReadEndpoint(reader.Object("peers_listen"))
+                            : result.peers;
   result.platform = ReadEndpoint(reader.Object("platform"));
   result.peer_key = reader.RequiredString("peer_key");
   if (!result.peer_key.empty() && result.peer_key.size() < kShortestPeerKey) {
