--- a/src/app/control_part.h
+++ b/src/app/control_part.h
@@ -33,6 +33,8 @@
   virtual bool Send(const std::string& peer, control_message message) = 0;
   /// False when the stewards' ring is full; try again at the next tick.
   virtual bool SendToStewards(steward_event event) = 0;
+  /// Puts an event into this duty's own ring; may be called on any thread.
+  virtual bool PostToControl(control_duty_event event) = 0;
   /// Spends one call of this instance's budget, when there is one to spend.
   /// `done` is called once, always later. A put whose answer is lost is
   /// settled by reading back before `done` is called.
@@ -41,11 +43,16 @@
 
   /// Members of this instance's own data centre, itself not among them.
   virtual const std::vector<member>& Members() const = 0;
+  /// Called by the part that keeps membership.
+  virtual void SetMembers(std::vector<member> members) = 0;
   /// What is agreed, as far as this instance knows.
   virtual const cluster_view& View() const = 0;
   /// Takes `object` into force here and tells peers, unless its version is
-  /// not above the highest seen or its value is malformed; then false.
+  /// not above the highest seen or its value is malformed; then false. The
+  /// parts hear of it by OnObject after the present event.
   virtual bool Offer(versioned_object object) = 0;
+  /// object_store::Summary of all objects in force here.
+  virtual std::uint64_t VersionSummary() const = 0;
   /// Sends the view to the router and the stewards before the next event.
   virtual void PublishView() = 0;
 };
--- a/src/coordination/handover_exchange.cc
+++ b/src/coordination/handover_exchange.cc
@@ -27,13 +27,13 @@
               open_.end());
 }
 
-std::vector<send_to_peer> handover_exchange::Due(monotonic_time now) {
+std::vector<send_control> handover_exchange::Due(monotonic_time now) {
   open_.erase(std::remove_if(open_.begin(), open_.end(),
                              [now](const open_handover& each) {
                                return each.give_up <= now;
                              }),
               open_.end());
-  std::vector<send_to_peer> due;
+  std::vector<send_control> due;
   for (open_handover& each : open_) {
     if (each.next > now) continue;
     each.next = now + kRepeat;
--- a/src/coordination/handover_exchange.h
+++ b/src/coordination/handover_exchange.h
@@ -11,7 +11,7 @@
 namespace papayaglade {
 
 /// A control message for one peer.
-struct send_to_peer {
+struct send_control {
   std::string peer;
   control_message message;
 };
@@ -23,7 +23,7 @@
            monotonic_time now);
   void OnAcknowledged(const std::string& steward, std::uint64_t epoch);
   /// Messages to send now.
-  std::vector<send_to_peer> Due(monotonic_time now);
+  std::vector<send_control> Due(monotonic_time now);
   bool Idle() const { return open_.empty(); }
 
  private:
--- a/src/coordination/roster_keeper.cc
+++ b/src/coordination/roster_keeper.cc
@@ -32,10 +32,14 @@
 
 bool SameMembers(const roster& a, const roster& b) {
   if (a.members.size() != b.members.size()) return false;
-  return std::all_of(a.members.begin(), a.members.end(),
-                     [&b](const roster_member& each) {
-                       return Contains(b.members, each.identity);
-                     });
+  return std::all_of(
+      a.members.begin(), a.members.end(), [&b](const roster_member& each) {
+        return std::any_of(b.members.begin(), b.members.end(),
+                           [&each](const roster_member& other) {
+                             return other.identity == each.identity &&
+                                    other.operators == each.operators;
+                           });
+      });
 }
 
 bool SameAssignments(const roster& a, const roster& b) {
@@ -140,7 +144,7 @@
   std::vector<steward_assignment> kept = newest_.assignments;
   for (const roster_member& each : newest_.members) {
     if (!IsDropped(each)) {
-      next.members.push_back(each);
+      next.members.push_back(Described(each));
       continue;
     }
     if (!IsGone(each)) next.retired.push_back(each);
@@ -183,6 +187,14 @@
   return result;
 }
 
+// Another member may have listed this one before it knew all of it.
+roster_member roster_keeper::Described(const roster_member& each) const {
+  if (each.identity != self_.identity) return each;
+  roster_member own = self_;
+  own.joined_epoch = each.joined_epoch;
+  return own;
+}
+
 bool roster_keeper::Differs(const roster& desired) const {
   return !SameMembers(newest_, desired) || !SameAssignments(newest_, desired);
 }
@@ -210,8 +222,15 @@
   if (report != nullptr && report->state == member_state::kDeadProven) {
     return true;
   }
-  // Two processes cannot listen at one address, so this one replaced it.
-  return each.identity != self_.identity && each.peers == self_.peers;
+  // Two processes cannot listen at one address, so one there replaced it.
+  if (each.identity != self_.identity && each.peers == self_.peers) return true;
+  const auto named = reports_.find(each.identity.name);
+  if (named == reports_.end()) return false;
+  return std::any_of(
+      named->second.begin(), named->second.end(), [&each](const member& other) {
+        return other.identity != each.identity && other.peers == each.peers &&
+               other.state == member_state::kAlive;
+      });
 }
 
 // Nobody outside the platform can have kept it proven for so long.
@@ -235,7 +254,7 @@
                          Contains(newest_.retired, each.identity);
       // A retired process may be leaving; only it knows, so it joins itself.
       if (known || each.state != member_state::kAlive) continue;
-      joiners.push_back({each.identity, each.peers, 0});
+      joiners.push_back({each.identity, each.peers, each.operators, 0});
     }
   }
   std::sort(joiners.begin(), joiners.end(), ByName);
--- a/src/coordination/roster_keeper.h
+++ b/src/coordination/roster_keeper.h
@@ -36,15 +36,17 @@
   /// The roster to write now; it differs from the newest known one. Nothing
   /// more is due until WriteEnded.
   std::optional<roster> NextWrite(monotonic_time now);
+  /// Whether the process of `each` has ended for certain.
+  bool IsGone(const roster_member& each) const;
   /// `refused`: the platform did not take the write for a reason other than a
   /// newer roster, so the next try backs off.
   void WriteEnded(bool refused, monotonic_time now);
 
  private:
   roster Desired() const;
+  roster_member Described(const roster_member& each) const;
   bool Differs(const roster& desired) const;
   bool IsDropped(const roster_member& each) const;
-  bool IsGone(const roster_member& each) const;
   bool IsExpired(const roster_member& each) const;
   std::vector<assignable_upstream> Upstreams() const;
   std::vector<roster_member> Joiners() const;
--- a/src/coordination/stewardship.cc
+++ b/src/coordination/stewardship.cc
@@ -56,9 +56,15 @@
 void stewardship::SetMembers(const std::vector<member>& members,
                              monotonic_time now) {
   keeper_.SetMembers(members);
-  for (const member& each : members) {
-    if (each.state != member_state::kDeadProven) continue;
-    fence_.MarkGone(each.identity, now);
+  MarkGone(now);
+}
+
+void stewardship::MarkGone(monotonic_time now) {
+  for (const roster_member& each : newest_.members) {
+    if (keeper_.IsGone(each)) fence_.MarkGone(each.identity, now);
+  }
+  for (const roster_member& each : newest_.retired) {
+    if (keeper_.IsGone(each)) fence_.MarkGone(each.identity, now);
   }
 }
 
@@ -79,7 +85,7 @@
   Write(now);
   AskPeers(now);
   CountConfirmations(now);
-  for (send_to_peer& each : handovers_.Due(now)) {
+  for (send_control& each : handovers_.Due(now)) {
     actions_.emplace_back(std::move(each));
   }
   Announce(now);
@@ -106,6 +112,7 @@
   }
   fence_.Adopt(found, now);
   keeper_.Adopt(found, now);
+  MarkGone(now);
   ApplyHandovers();
 }
 
@@ -156,7 +163,7 @@
   for (auto& [steward, message] : by_steward) {
     handovers_.Add(steward, std::move(message), now);
   }
-  for (send_to_peer& each : handovers_.Due(now)) {
+  for (send_control& each : handovers_.Due(now)) {
     actions_.emplace_back(std::move(each));
   }
   FinishLeave(now);
@@ -214,7 +221,7 @@
   standing_answer answer{message.sequence, newest_.epoch, ReleasedEpoch()};
   answer.proof_age =
       proof_.PlatformProofAge(now).value_or(std::chrono::microseconds(-1));
-  actions_.emplace_back(send_to_peer{from.name, answer});
+  actions_.emplace_back(send_control{from.name, answer});
 }
 
 void stewardship::Handle(const instance_identity& from,
@@ -239,7 +246,7 @@
                          const stewardship_handover& message,
                          monotonic_time /*now*/) {
   actions_.emplace_back(
-      send_to_peer{from.name, stewardship_handover_ack{message.epoch}});
+      send_control{from.name, stewardship_handover_ack{message.epoch}});
   if (pending_.size() >= kMostPendingHandovers) return;
   pending_.push_back({from.name, message});
   if (message.epoch > newest_.epoch) read_wanted_ = true;
@@ -339,7 +346,7 @@
 void stewardship::Ask(const std::string& peer, monotonic_time now) {
   questions_[++last_sequence_] = now;
   actions_.emplace_back(
-      send_to_peer{peer, standing_question{last_sequence_, newest_.epoch}});
+      send_control{peer, standing_question{last_sequence_, newest_.epoch}});
 }
 
 void stewardship::CountConfirmations(monotonic_time now) {
--- a/src/coordination/stewardship.h
+++ b/src/coordination/stewardship.h
@@ -37,7 +37,7 @@
 struct leave_finished {};
 
 using stewardship_action =
-    std::variant<send_to_peer, read_roster, write_roster, standing_update,
+    std::variant<send_control, read_roster, write_roster, standing_update,
                  release_upstreams, handover_event, leave_finished>;
 
 /// The platform's answer about the roster object.
@@ -97,6 +97,7 @@
   void Handle(const instance_identity& /*from*/, const Other& /*message*/,
               monotonic_time /*now*/) {}
 
+  void MarkGone(monotonic_time now);
   void Adopt(const roster& found, monotonic_time now);
   void ReleaseLost(const roster& found, monotonic_time now);
   void ApplyHandovers();
--- a/src/state/cluster_view.h
+++ b/src/state/cluster_view.h
@@ -16,13 +16,9 @@
 /// One instance of the query tier as its data centre's roster names it.
 struct roster_member {
   instance_identity identity;
-<<<<<<< HEAD
   endpoint peers;                  ///< Where the instance accepts peer links.
+  endpoint operators;              ///< Where operators reach the instance.
   std::uint64_t joined_epoch = 0;  ///< Member without a break since then.
-=======
-  endpoint peers;      ///< Where the instance accepts peer links.
-  endpoint operators;  ///< Where operators reach the instance.
->>>>>>> main
 };
 
 /// Which instance is steward of one upstream.
--- a/src/state/control_message.h
+++ b/src/state/control_message.h
@@ -7,16 +7,69 @@
 #include <variant>
 #include <vector>
 
+#include "state/identity.h"
+#include "state/member.h"
+#include "state/versioned_object.h"
+
 namespace papayaglade {
 
+// Membership of one data centre; see docs/design/membership.md.
+
 /// Asks a peer to prove that it is alive.
 struct probe {
   std::uint64_t sequence = 0;
+  std::uint64_t versions = 0;  ///< object_store::Summary of the sender.
+  std::vector<member_update> updates;
 };
 
 /// Answers a probe.
 struct probe_reply {
   std::uint64_t sequence = 0;
+  std::uint64_t versions = 0;
+  std::vector<member_update> updates;
+};
+
+/// Asks a peer to probe `target` and to pass its reply on.
+struct probe_request {
+  std::uint64_t sequence = 0;
+  instance_identity target;
+  std::vector<member_update> updates;
+};
+
+/// All members the sender knows, itself first.
+struct member_list {
+  bool reply_wanted = false;
+  std::string data_centre;
+  std::vector<member_update> members;
+};
+
+// Spread of shared objects; see docs/design/spread.md.
+
+/// Tells peers in other data centres what the sender's versions add up to.
+struct version_summary {
+  std::uint64_t versions = 0;
+};
+
+struct version_entry {
+  object_key key;
+  std::uint64_t version = 0;
+};
+
+/// Versions the sender has; `complete` when it has no other objects.
+struct version_digest {
+  bool complete = false;
+  std::vector<version_entry> entries;
+};
+
+/// Asks for an object that the receiver said it has.
+struct object_request {
+  object_key key;
+};
+
+/// Answers an object_request; `busy` when the sender has sent too much lately.
+struct object_reply {
+  bool busy = false;
+  versioned_object object;  ///< Only the key when busy.
 };
 
 /// Asks a peer of the own data centre for the newest roster epoch it knows.
@@ -54,8 +107,10 @@
 
 /// What the control duties of two instances say to each other.
 using control_message =
-    std::variant<probe, probe_reply, standing_question, standing_answer,
-                 stewardship_handover, stewardship_handover_ack>;
+    std::variant<probe, probe_reply, probe_request, member_list,
+                 version_summary, version_digest, object_request, object_reply,
+                 standing_question, standing_answer, stewardship_handover,
+                 stewardship_handover_ack>;
 
 }  // namespace papayaglade
 
--- a/tests/unit/exploration_world.cc
+++ b/tests/unit/exploration_world.cc
@@ -93,7 +93,7 @@
   const endpoint address{"127.0.0.1",
                          static_cast<std::uint16_t>(1000 + name.front())};
   each.machine = std::make_unique<stewardship>(
-      roster_member{each.identity, address, 0}, "dc", timing_, random_());
+      roster_member{each.identity, address, {}, 0}, "dc", timing_, random_());
   each.machine->SetUpstreams(configuration_, upstreams_);
   At(milliseconds(Draw(200)), [this, &each] { Tick(each); });
   At(milliseconds(Draw(20)), [this, &each] { Send(each); });
@@ -155,7 +155,7 @@
   from.highest_epoch = epoch;
 }
 
-void exploration_world::Perform(process& from, send_to_peer action) {
+void exploration_world::Perform(process& from, send_control action) {
   process* to = Running(action.peer);
   if (to == nullptr || !Reachable(from, *to) || Draw(50) == 0) return;
   AtProcess(milliseconds(1 + Draw(Draw(10) == 0 ? 400 : 10)), *to,
