Take data-centre orders through any instance, with or without the platform

Two opposite orders of one round can never get the same generation (the last bit tells out from in), so all instances settle on one without talking.

--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "app/membership_part.h"
+#include "app/order_part.h"
 #include "app/roster_part.h"
 #include "app/view_builder.h"
 #include "app/view_status.h"
@@ -51,6 +52,7 @@
   parts_.push_back(std::move(spread));
   parts_.push_back(std::make_unique<membership_part>(context));
   parts_.push_back(std::make_unique<roster_part>(context));
+  parts_.push_back(std::make_unique<order_part>(context));
 }
 
 control_duty::~control_duty() { Stop(); }
--- a/src/app/data_centre_order_writer.cc
+++ b/src/app/data_centre_order_writer.cc
@@ -1,5 +1,6 @@
 #include "app/data_centre_order_writer.h"
 
+#include "coordination/data_centre_orders.h"
 #include "protocol/configuration_codec.h"
 
 namespace papayaglade {
@@ -50,8 +51,8 @@
     }
     const stored_order stored = StoredOrder(current, data_centre);
     if (stored.version > 0 && stored.order.out == out) return stored.order;
-    const data_centre_order wanted{data_centre, stored.order.generation + 1,
-                                   out};
+    const data_centre_order wanted{
+        data_centre, NextOrderGeneration(stored.order.generation, out), out};
     const platform_reply written = platform_.Call(
         platform_put{kKind, data_centre, stored.version, FormatOrder(wanted)});
     if (written.status == platform_status::kOk) return wanted;
