--- a/src/app/control_duty.h
+++ b/src/app/control_duty.h
@@ -37,6 +37,7 @@
   peer_port& Peers() override { return peers_; }
   bool Send(const std::string& peer, control_message message) override;
   bool SendToStewards(steward_event event) override;
+  bool PostToControl(control_duty_event event) override;
   void CallPlatform(platform_operation operation,
                     platform_callback done) override;
   const std::vector<member>& Members() const override { return members_; }
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -324,7 +324,7 @@
 void membership::OnHint(const instance_identity& identity,
                         const endpoint& peers, monotonic_time now) {
   if (identity.name == self_.identity.name) return;
-  Learn({identity, peers, member_state::kHinted, 0}, false, now);
+  Learn({identity, peers, member_state::kHinted, 0, {}}, false, now);
 }
 
 void membership::OnPeerLink(const peer_link_event& event, monotonic_time now) {
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -156,14 +156,11 @@
   monotonic_time fenced_until;
 };
 
-/// State of an upstream handed over by its last steward.
-struct handover {
-  std::string upstream;
-  std::string state;  ///< Encoded by the stewards duty, opaque to others.
-};
-
+/// States for the stewards duty to take over, or its answer to the control
+/// duty that asked for a release.
 struct handover_event {
   std::vector<handover> upstreams;
+  std::uint64_t epoch = 0;  ///< Of the release that this answers.
 };
 
 /// Asks the stewards duty to end its stewardship of `upstreams` (all, if
