--- a/src/coordination/connection_pool.cc
+++ b/src/coordination/connection_pool.cc
@@ -21,17 +21,27 @@
 
 bool connection_pool::ShouldOpen(int wanted, monotonic_time now) {
   if (now < open_not_before_) return false;
-  const auto passed = [now](monotonic_time end) { return end <= now; };
-  retired_.erase(std::remove_if(retired_.begin(), retired_.end(), passed),
-                 retired_.end());
-  const int room = limit_ - CountRetired();
+  const int needed = wanted + settings_.spare;
   const auto opening = std::count_if(
       connections_.begin(), connections_.end(),
       [](const connection& each) { return each.state == use::kOpening; });
   // While an address refuses, one attempt at a time is a probe of it.
   const int at_once = backoff_.count() == 0 ? kOpeningAtOnce : 1;
   return opening < at_once &&
-         CountOpen() < std::min(room, wanted + settings_.spare);
+         CountOpen() < std::min(Room(needed, now), needed);
+}
+
+int connection_pool::Room(int needed, monotonic_time now) {
+  const auto held = [&](std::chrono::milliseconds hold) {
+    return !retired_.empty() && now - retired_.front() >= hold;
+  };
+  while (held(settings_.retired_hold)) retired_.erase(retired_.begin());
+  // Far ends mostly do notice a reset, so after a while doubt gives way to
+  // work that has no connection.
+  while (limit_ - CountRetired() < needed && held(settings_.shortest_hold)) {
+    retired_.erase(retired_.begin());
+  }
+  return limit_ - CountRetired();
 }
 
 void connection_pool::OnOpening(std::uint64_t id, monotonic_time now) {
@@ -63,7 +73,7 @@
 void connection_pool::Retire(std::uint64_t id, monotonic_time now) {
   if (Find(id) == nullptr) return;
   OnClosed(id);
-  retired_.push_back(now + settings_.retired_hold);
+  retired_.push_back(now);
 }
 
 std::optional<connection_pool::connection> connection_pool::PickForWork()
--- a/src/coordination/connection_pool.h
+++ b/src/coordination/connection_pool.h
@@ -16,6 +16,8 @@
   int spare = 1;  ///< Idle connections beyond the present limit.
   /// How long a retired connection counts, because the far end may hold it.
   std::chrono::milliseconds retired_hold{30000};
+  /// After this long it stops to count where work needs a connection.
+  std::chrono::milliseconds shortest_hold{5000};
   std::chrono::milliseconds idle_limit{30000};  ///< A surplus one closes then.
   std::chrono::milliseconds first_backoff{50};  ///< After a refusal.
   std::chrono::milliseconds longest_backoff{2000};
@@ -67,13 +69,14 @@
   void SetLimit(int limit) { limit_ = limit; }
 
  private:
+  int Room(int needed, monotonic_time now);
   connection* FindMutable(std::uint64_t id);
 
   int limit_;
   connection_pool_settings settings_;
   std::mt19937_64 random_;
   std::vector<connection> connections_;  // At most the limit: searched through.
-  std::vector<monotonic_time> retired_;  // When each stops to count.
+  std::vector<monotonic_time> retired_;  // When each was, oldest first.
   std::chrono::milliseconds backoff_{0};
   monotonic_time open_not_before_{};
 };
--- a/src/coordination/response_times.h
+++ b/src/coordination/response_times.h
@@ -13,7 +13,7 @@
 
   /// Mean of recent replies in any phase; zero when none.
   std::chrono::microseconds Recent() const { return recent_; }
-  /// Mean of warm replies; zero when not learnt.
+  /// Median of warm replies; zero when not learnt.
   std::chrono::microseconds Warm() const { return warm_; }
   bool WarmKnown() const { return warm_.count() > 0; }
 
@@ -29,8 +29,11 @@
   void AdoptWarm(std::chrono::microseconds warm) { warm_ = warm; }
 
  private:
+  void LearnWarm(std::chrono::microseconds took);
+
   std::chrono::microseconds recent_{0};
   std::chrono::microseconds warm_{0};
+  int warm_samples_ = 0;
   int slow_in_row_ = 0;
 };
 
--- a/src/coordination/upstream_dispatcher.cc
+++ b/src/coordination/upstream_dispatcher.cc
@@ -123,7 +123,9 @@
 void upstream_dispatcher::OnWorkBroken(exchange lost,
                                        const connection_failed& event) {
   pool_.OnClosed(event.connection_id);
-  if (!event.nothing_sent) {
+  // A connection that failed while idle never took up this work.
+  const bool taken_up = event.exchange_id == lost.id;
+  if (taken_up && !event.nothing_sent) {
     control_.OnUnproven(lost.id);
     ReportLost(lost, shard_reason::kUpstreamLost);
     return NoteReset(true, port_.Now());
@@ -309,7 +311,7 @@
     if (!connection.has_value()) break;
     if (!control_.MaySend(connection->verified, now)) break;
     auto attempt = queue_.Pop(now);
-    if (now + control_.Times().Warm() >= attempt->deadline) {
+    if (now + ExpectedTime() >= attempt->deadline) {
       Refuse(*attempt, shard_reason::kDeadline);
       continue;
     }
@@ -400,12 +402,18 @@
 
 bool upstream_dispatcher::CanMeetDeadline(const queued_attempt& attempt,
                                           monotonic_time now) const {
-  const auto one = control_.Times().Recent();
-  const auto ahead =
-      static_cast<int>(queue_.Ahead(attempt.batch->priority, attempt.flow));
+  const auto ahead = static_cast<int>(
+      queue_.Ahead(attempt.batch->priority, attempt.flow));
   const int limit = std::max(control_.Limit(), 1);
-  return now + one * (ahead / limit) + control_.Times().Warm() <
-         attempt.deadline;
+  const auto wait = control_.Times().Recent() * (ahead / limit);
+  return now + wait + ExpectedTime() < attempt.deadline;
+}
+
+std::chrono::microseconds upstream_dispatcher::ExpectedTime() const {
+  // An idle upstream is always tried: refusing all work by what was learnt
+  // would keep it from ever learning better.
+  if (control_.InFlight() == 0) return std::chrono::microseconds(0);
+  return control_.Times().Recent();
 }
 
 void upstream_dispatcher::RefuseAll(shard_reason reason) {
@@ -433,7 +441,12 @@
 void upstream_dispatcher::MaintainPool(monotonic_time now) {
   if (!WantsConnections()) return;
   const bool working = !BlockedByPhase().has_value();
-  const int wanted = working ? control_.Limit() : 0;
+  // A connection whose exchange was cancelled may never be free again.
+  const auto ended = std::count_if(
+      exchanges_.begin(), exchanges_.end(),
+      [](const exchange& each) { return each.ended; });
+  const int wanted =
+      working ? control_.Limit() + static_cast<int>(ended) : 0;
   while (pool_.ShouldOpen(wanted, now)) {
     const std::uint64_t id = port_.NextId();
     const open_connection command{id, definition_.address,
@@ -523,8 +536,9 @@
 
 void upstream_dispatcher::OnOverdueWork(exchange& late, monotonic_time now) {
   if (late.ended) {
-    const exchange done = Take(late.id);
-    return DropConnection(done.connection_id);
+    // The upstream said that it received and ended this attempt, so there is
+    // no sign of silence.
+    return DropConnection(Take(late.id).connection_id);
   }
   if (!late.reported) {
     ReportLost(late, shard_reason::kDeadline);
--- a/src/coordination/upstream_dispatcher.h
+++ b/src/coordination/upstream_dispatcher.h
@@ -132,6 +132,7 @@
   void SendNext(const connection_pool::connection& connection,
                 queued_attempt attempt, monotonic_time now);
   bool CanMeetDeadline(const queued_attempt& attempt, monotonic_time now) const;
+  std::chrono::microseconds ExpectedTime() const;
   void RefuseAll(shard_reason reason);
   void Refuse(const queued_attempt& attempt, shard_reason reason);
   void ReportLost(exchange& lost, shard_reason reason);
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -135,6 +135,8 @@
   std::uint64_t connection_id = 0;
   connection_failure how = connection_failure::kReset;
   bool nothing_sent = false;
+  /// The exchange it had taken up; another one on it was never sent.
+  std::uint64_t exchange_id = 0;
 };
 
 struct exchange_reply {
--- a/src/transport/upstream_links.cc
+++ b/src/transport/upstream_links.cc
@@ -10,23 +10,6 @@
 
 constexpr std::size_t kInboxCapacity = 65536;
 constexpr std::chrono::milliseconds kReportRetry{1};
-// The stewards duty decides when an exchange has taken too long, because only
-// it knows what a silent connection still counts against.
-constexpr std::chrono::milliseconds kNoTimeout{0};
-
-connection_failure FailureOf(http_failure how) {
-  switch (how) {
-    case http_failure::kRefused:
-      return connection_failure::kRefused;
-    case http_failure::kTimedOut:
-      return connection_failure::kTimedOut;
-    case http_failure::kReset:
-      return connection_failure::kReset;
-    case http_failure::kMalformed:
-      return connection_failure::kMalformed;
-  }
-  return connection_failure::kReset;
-}
 
 }  // namespace
 
@@ -56,17 +39,12 @@
 }
 
 void upstream_links::Open(const open_connection& command) {
-  const auto connection = std::make_shared<http_connection>(thread_.Io());
   const std::uint64_t id = command.connection_id;
+  upstream_connection_listener& listener = *this;
+  const auto connection =
+      std::make_shared<upstream_connection>(thread_.Io(), id, listener);
   connections_[id] = connection;
-  connection->Connect(command.target, command.timeout,
-                      [this, id](std::optional<http_failure> failure) {
-                        if (failure.has_value()) {
-                          Fail(id, *failure, true);
-                        } else {
-                          Report(connection_opened{id});
-                        }
-                      });
+  connection->Connect(command.target, command.timeout);
 }
 
 void upstream_links::Close(const close_connection& command) {
@@ -76,30 +54,29 @@
   connections_.erase(found);
 }
 
+// The stewards duty decides when an exchange has taken too long, because only
+// it knows what a silent connection still counts against.
 void upstream_links::Exchange(send_exchange command) {
   const std::uint64_t id = command.connection_id;
   const auto found = connections_.find(id);
   if (found == connections_.end()) {
-    return Report(connection_failed{id, connection_failure::kReset, true});
+    return Report(connection_failed{id, connection_failure::kReset, true,
+                                    command.exchange_id});
   }
-  http_request request{std::move(command.method), std::move(command.target), "",
-                       std::move(command.body)};
-  found->second->Exchange(
-      std::move(request), kNoTimeout,
-      [this, id,
-       exchange_id = command.exchange_id](http_connection::outcome outcome) {
-        if (outcome.failure.has_value()) {
-          return Fail(id, *outcome.failure, false);
-        }
-        Report(exchange_reply{id, exchange_id, outcome.status,
-                              std::move(outcome.body), outcome.keep_alive});
-      });
+  // Kept alive: a failure takes the connection out of the map.
+  const std::shared_ptr<upstream_connection> connection = found->second;
+  connection->Exchange(std::move(command));
+}
+
+void upstream_links::OnConnected(std::uint64_t connection_id) {
+  Report(connection_opened{connection_id});
 }
 
-void upstream_links::Fail(std::uint64_t connection_id, http_failure how,
-                          bool nothing_sent) {
-  Close({connection_id});
-  Report(connection_failed{connection_id, FailureOf(how), nothing_sent});
+void upstream_links::OnReply(exchange_reply reply) { Report(std::move(reply)); }
+
+void upstream_links::OnBroken(const connection_failed& failure) {
+  connections_.erase(failure.connection_id);
+  Report(failure);
 }
 
 void upstream_links::Report(steward_event event) {
--- a/src/transport/upstream_links.h
+++ b/src/transport/upstream_links.h
@@ -10,15 +10,16 @@
 
 #include "coordination/ports.h"
 #include "state/events.h"
-#include "transport/http_connection.h"
 #include "transport/io_inbox.h"
 #include "transport/io_thread.h"
+#include "transport/upstream_connection.h"
 
 namespace papayaglade {
 
 /// The upstreams duty: carries out connection commands and reports what came
 /// of them to the stewards duty. It decides nothing.
-class upstream_links : public upstream_port {
+class upstream_links : public upstream_port,
+                       private upstream_connection_listener {
  public:
   explicit upstream_links(steward_ring& stewards);
   ~upstream_links() override;
@@ -32,14 +33,16 @@
   void Open(const open_connection& command);
   void Close(const close_connection& command);
   void Exchange(send_exchange command);
-  void Fail(std::uint64_t connection_id, http_failure how, bool nothing_sent);
+  void OnConnected(std::uint64_t connection_id) override;
+  void OnReply(exchange_reply reply) override;
+  void OnBroken(const connection_failed& failure) override;
   void Report(steward_event event);
   void RetryReports();
 
   steward_ring& stewards_;
   io_thread thread_;
   io_inbox<upstream_command> inbox_;
-  std::unordered_map<std::uint64_t, std::shared_ptr<http_connection>>
+  std::unordered_map<std::uint64_t, std::shared_ptr<upstream_connection>>
       connections_;
   std::deque<steward_event> unreported_;
   boost::asio::steady_timer retry_;
--- /dev/null
+++ b/tests/unit/model_upstream.h
@@ -0,0 +1,105 @@
+#ifndef PAPAYAGLADE_TESTS_UNIT_MODEL_UPSTREAM_H_
+#define PAPAYAGLADE_TESTS_UNIT_MODEL_UPSTREAM_H_
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/upstream_dispatcher.h"
+
+namespace papayaglade {
+
+/// One upstream with its connections in virtual time, and the dispatcher under
+/// test joined to it. It goes cold, lies in its health, sheds, loses answers.
+class model_upstream : public dispatch_port {
+ public:
+  struct finished {
+    queued_attempt attempt;
+    shard_result result;
+  };
+
+  model_upstream(const upstream_limits& limits, std::uint64_t seed);
+
+  // What the test does to it.
+  void Restart(std::chrono::milliseconds down, std::chrono::milliseconds cold);
+  void GoColdInPlace(std::chrono::milliseconds cold);
+  void Freeze(std::chrono::milliseconds time);  ///< Pauses the steward.
+  void LoseAnswers(bool lose) { lose_answers_ = lose; }
+  void SilenceOne();  ///< One open connection loses all that follows.
+  void Prove(std::chrono::milliseconds lease);
+  void Ask(std::chrono::milliseconds deadline,
+           request_class priority = request_class::kCounter);
+  void Run(std::chrono::milliseconds time);
+
+  // dispatch_port
+  monotonic_time Now() const override { return now_; }
+  std::uint64_t NextId() override { return ++last_id_; }
+  bool Open(const open_connection& command) override;
+  void Close(std::uint64_t connection_id) override;
+  bool SendWork(std::uint64_t connection_id, std::uint64_t exchange_id,
+                const queued_attempt& attempt, monotonic_time now,
+                monotonic_time not_after) override;
+  bool SendCancel(std::uint64_t connection_id, std::uint64_t exchange_id,
+                  const std::vector<queued_attempt>& attempts) override;
+  bool SendHealth(std::uint64_t connection_id,
+                  std::uint64_t exchange_id) override;
+  void Finish(const queued_attempt& attempt, shard_result result) override;
+
+  upstream_health health_answer;
+  steward_standing standing;
+  upstream_dispatcher dispatcher;
+  std::vector<finished> results;
+  std::set<std::uint64_t> ran;  ///< Attempts that began to run.
+  std::uint64_t sent = 0;
+  int over_cold_bound = 0;  ///< Arrivals that a cold upstream could not bear.
+  int unproven_sends = 0;   ///< Sends to a cold upstream without standing.
+  int uncounted = 0;        ///< Times more ran than the dispatcher counted.
+  int stale_sends = 0;      ///< Sends after the attempt's deadline.
+  upstream_verdict refusal = upstream_verdict::kShed;
+  std::string incarnation = "1";
+
+ private:
+  struct running {
+    std::uint64_t connection_id = 0;
+    std::uint64_t attempt_id = 0;
+  };
+  struct connection {
+    bool up = false;
+    bool silent = false;
+    std::uint64_t exchange_id = 0;  ///< The last taken up.
+  };
+
+  void At(monotonic_time when, std::function<void()> what);
+  void ToSteward(std::function<void()> what);
+  void Arrive(std::uint64_t connection_id, std::uint64_t exchange_id,
+              const queued_attempt& attempt, monotonic_time sent_at);
+  void Answer(std::uint64_t connection_id, std::uint64_t exchange_id,
+              upstream_reply reply);
+  bool Up(std::uint64_t connection_id) const;
+  bool Cold() const { return now_ < cold_until_; }
+  std::chrono::microseconds ServiceTime();
+  void CheckCount();
+
+  upstream_limits limits_;
+  std::mt19937_64 random_;
+  monotonic_time now_{std::chrono::hours(1)};
+  std::multimap<monotonic_time, std::function<void()>> events_;
+  std::map<std::uint64_t, connection> connections_;
+  std::map<std::uint64_t, running> running_;  // By exchange.
+  std::uint64_t last_id_ = 0;
+  std::uint64_t last_attempt_ = 0;
+  int life_ = 1;
+  monotonic_time down_until_{};
+  monotonic_time cold_until_{};
+  monotonic_time in_place_sign_{};  // When a sign of it reached the steward.
+  bool in_place_unsigned_ = false;
+  monotonic_time frozen_until_{};
+  bool lose_answers_ = false;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TESTS_UNIT_MODEL_UPSTREAM_H_
--- /dev/null
+++ b/tests/unit/upstream_dispatcher_test.cc
@@ -0,0 +1,230 @@
+#include "coordination/upstream_dispatcher.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "model_upstream.h"
+
+namespace papayaglade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kSeed = 7;
+constexpr upstream_limits kLimits{3, 1, 10};
+constexpr milliseconds kNoDeadline{100000};
+
+// Asks often enough that three slots are in use all the time.
+void Load(model_upstream& model, milliseconds time) {
+  for (milliseconds passed{0}; passed < time; passed += milliseconds(1)) {
+    model.Ask(milliseconds(60));
+    model.Run(milliseconds(1));
+  }
+}
+
+void Warm(model_upstream& model) {
+  Load(model, milliseconds(8000));
+  REQUIRE(model.dispatcher.Summary().phase == steward_phase::kWarm);
+}
+
+int CountReason(const model_upstream& model, shard_reason reason) {
+  return static_cast<int>(std::count_if(
+      model.results.begin(), model.results.end(), [&](const auto& each) {
+        return each.result.reason == reason &&
+               each.result.status == shard_status::kNotRun;
+      }));
+}
+
+}  // namespace
+
+TEST_CASE("random faults never push a cold upstream over its bound",
+          "[upstream][random]") {
+  const std::uint64_t seed = GENERATE(range(1, 101));
+  CAPTURE(seed);
+  std::mt19937_64 random(seed);
+  model_upstream model({3, 1 + static_cast<int>(seed % 2), 10}, seed);
+  model.health_answer.incarnation = "1";
+  model.LoseAnswers(true);
+  Load(model, milliseconds(7000));
+  for (int step = 0; step < 12; ++step) {
+    model.health_answer.phase =
+        random() % 8 == 0 ? upstream_phase::kCold : upstream_phase::kWarm;
+    model.Prove(milliseconds(random() % 4 == 0 ? 300 : 100000));
+    const milliseconds cold(500 + random() % 4000);
+    switch (random() % 5) {
+      case 0:
+        model.Restart(milliseconds(random() % 400), cold);
+        break;
+      case 1:
+        model.GoColdInPlace(cold);
+        break;
+      case 2:
+        model.Freeze(milliseconds(random() % 3000));
+        break;
+      case 3:
+        model.SilenceOne();
+        break;
+      default:
+        model.health_answer.incarnation = model.incarnation;
+    }
+    Load(model, milliseconds(200 + random() % 1500));
+  }
+  model.Run(milliseconds(5000));
+  CHECK(model.over_cold_bound == 0);
+  CHECK(model.unproven_sends == 0);
+  CHECK(model.uncounted == 0);
+  CHECK(model.stale_sends == 0);
+  std::set<std::uint64_t> ended;
+  for (const model_upstream::finished& each : model.results) {
+    const std::uint64_t id = each.attempt.Attempt().attempt_id;
+    CHECK(ended.insert(id).second);
+    const bool not_run = each.result.status == shard_status::kNotRun;
+    if (not_run) CHECK(model.ran.count(id) == 0);
+  }
+  CHECK(model.dispatcher.Idle());
+}
+
+TEST_CASE("a restart without warning sends the upstream back to cold",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.Restart(milliseconds(0), milliseconds(3000));
+  Load(model, milliseconds(100));
+  CHECK(model.dispatcher.Summary().limit == 1);
+  CHECK(model.over_cold_bound == 0);
+}
+
+TEST_CASE("one idle connection closed by the far end is no restart",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.Run(milliseconds(100));
+  // The first connection of the pool is the one opened first.
+  model.dispatcher.OnFailed({1, connection_failure::kReset, false, 0});
+  CHECK(model.dispatcher.Summary().phase == steward_phase::kWarm);
+}
+
+TEST_CASE("a paused steward wakes without sending late or unproven work",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  model.Prove(milliseconds(200));
+  model.Run(milliseconds(50));
+  model.Freeze(milliseconds(3000));
+  const std::uint64_t before = model.sent;
+  for (int i = 0; i < 20; ++i) model.Ask(milliseconds(100));
+  for (int i = 0; i < 20; ++i) model.Ask(kNoDeadline);
+  model.Run(milliseconds(4000));
+  CHECK(model.sent == before);
+  CHECK(CountReason(model, shard_reason::kStandingUnproven) == 40);
+}
+
+TEST_CASE("warm work goes on without a lease until a sign of a restart",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.Prove(milliseconds(0));
+  const std::uint64_t before = model.sent;
+  Load(model, milliseconds(200));
+  CHECK(model.sent > before);
+  model.Restart(milliseconds(0), milliseconds(3000));
+  model.Run(milliseconds(1));
+  const std::uint64_t after = model.sent;
+  Load(model, milliseconds(500));
+  CHECK(model.sent == after);
+}
+
+TEST_CASE("a silent connection is retired and counts against the limit",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.Run(milliseconds(100));
+  model.SilenceOne();
+  Load(model, milliseconds(3000));
+  const auto summary = model.dispatcher.Summary();
+  CHECK(summary.retired_connections == 1);
+  CHECK(summary.phase == steward_phase::kWarm);
+  CHECK(summary.connections + summary.retired_connections <= 10);
+}
+
+TEST_CASE("a leaving upstream gets no new work and comes back as unknown",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.health_answer = {upstream_phase::kLeaving, "1", 0, {}};
+  model.Run(milliseconds(1100));
+  const std::uint64_t before = model.sent;
+  Load(model, milliseconds(500));
+  CHECK(model.sent == before);
+  CHECK(CountReason(model, shard_reason::kLeaving) >= 400);
+  model.health_answer = {upstream_phase::kWarm, "2", 0, {}};
+  model.Run(milliseconds(1100));
+  CHECK(model.dispatcher.Summary().phase == steward_phase::kUnknown);
+}
+
+TEST_CASE("an address that refuses is down until a probe connects",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.Restart(milliseconds(1000), milliseconds(3000));
+  Load(model, milliseconds(500));
+  CHECK(model.dispatcher.Summary().phase == steward_phase::kLost);
+  CHECK(CountReason(model, shard_reason::kUpstreamDown) > 100);
+  Load(model, milliseconds(3000));
+  CHECK(model.dispatcher.Summary().phase == steward_phase::kCold);
+}
+
+TEST_CASE("a data centre ordered out gets nothing and returns cold",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.dispatcher.SetDataCentreOut(true);
+  const std::uint64_t before = model.sent;
+  Load(model, milliseconds(100));
+  CHECK(model.sent == before);
+  CHECK(CountReason(model, shard_reason::kDataCentreOut) >= 100);
+  model.dispatcher.SetDataCentreOut(false);
+  CHECK(model.dispatcher.Summary().limit == 1);
+}
+
+TEST_CASE("a handover passes the limit and what is still in flight",
+          "[upstream]") {
+  model_upstream old_steward(kLimits, kSeed);
+  Warm(old_steward);
+  old_steward.Run(milliseconds(200));
+  for (int i = 0; i < 6; ++i) old_steward.Ask(milliseconds(2000));
+  const upstream_state state = old_steward.dispatcher.Release();
+  CHECK(state.limit == 3);
+  REQUIRE(state.in_flight.size() == 3);
+  CHECK(CountReason(old_steward, shard_reason::kNotSteward) >= 3);
+  const std::uint64_t sent = old_steward.sent;
+  Load(old_steward, milliseconds(50));
+  CHECK(old_steward.sent == sent);
+  CHECK(old_steward.dispatcher.Idle());
+
+  model_upstream next_steward(kLimits, kSeed);
+  next_steward.dispatcher.Adopt(state);
+  CHECK(next_steward.dispatcher.Summary().unproven == 3);
+  Load(next_steward, milliseconds(1000));
+  CHECK(next_steward.sent == 0);
+  Load(next_steward, milliseconds(3000));
+  CHECK(next_steward.sent > 0);
+  CHECK(next_steward.dispatcher.Summary().phase == steward_phase::kWarm);
+}
+
+TEST_CASE("a fenced upstream gets nothing before the fence ends",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  standing_update update;
+  update.proven_until = model.Now() + milliseconds(100000);
+  update.upstreams = {"u"};
+  update.fenced = {"u"};
+  update.fenced_until = model.Now() + milliseconds(1000);
+  model.standing.Update(update);
+  Load(model, milliseconds(900));
+  CHECK(model.sent == 0);
+  Load(model, milliseconds(300));
+  CHECK(model.sent > 0);
+}
+
+}  // namespace papayaglade
