--- a/src/protocol/settings_codec.cc
+++ b/src/protocol/settings_codec.cc
@@ -27,6 +27,20 @@
   return result;
 }
 
+std::vector<seed_peer> ReadSeeds(json_reader& reader) {
+  std::vector<seed_peer> seeds;
+  for (json_reader& each : reader.Objects("seeds")) {
+    seed_peer seed;
+    seed.name = each.RequiredString("name");
+    seed.peers.address = each.RequiredString("address");
+    seed.peers.port =
+        static_cast<std::uint16_t>(each.RequiredInteger("port", 1, kMostPort));
+    each.RefuseUnknownMembers();
+    seeds.push_back(std::move(seed));
+  }
+  return seeds;
+}
+
 milliseconds ReadTime(json_reader& reader, const std::string& key,
                       milliseconds fallback) {
   return milliseconds(
@@ -51,6 +65,8 @@
       ReadTime(reader, "longest_request_ms", result.longest_request);
   result.shutdown_bound =
       ReadTime(reader, "shutdown_bound_ms", result.shutdown_bound);
+  result.balancer_notice =
+      ReadTime(reader, "balancer_notice_ms", result.balancer_notice);
   if (result.probe_timeout >= result.probe_period) {
     reader.AddFault("probe_timeout_ms", "not shorter than probe_period_ms",
                     "lower it or raise probe_period_ms");
@@ -84,7 +100,11 @@
   result.callers = ReadEndpoint(reader.Object("callers"));
   result.operators = ReadEndpoint(reader.Object("operators"));
   result.peers = ReadEndpoint(reader.Object("peers"));
+  result.peers_listen = reader.Has("peers_listen")
+                            ? ReadEndpoint(reader.Object("peers_listen"))
+                            : result.peers;
   result.platform = ReadEndpoint(reader.Object("platform"));
+  result.seeds = ReadSeeds(reader);
   result.peer_key = reader.RequiredString("peer_key");
   if (!result.peer_key.empty() && result.peer_key.size() < kShortestPeerKey) {
     reader.AddFault(
