--- a/src/coordination/connection_pool.cc
+++ b/src/coordination/connection_pool.cc
@@ -27,8 +27,7 @@
       [](const connection& each) { return each.state == use::kOpening; });
   // While an address refuses, one attempt at a time is a probe of it.
   const int at_once = backoff_.count() == 0 ? kOpeningAtOnce : 1;
-  return opening < at_once &&
-         CountOpen() < std::min(Room(needed, now), needed);
+  return opening < at_once && CountOpen() < std::min(Room(needed, now), needed);
 }
 
 int connection_pool::Room(int needed, monotonic_time now) {
--- a/src/coordination/response_times.cc
+++ b/src/coordination/response_times.cc
@@ -14,7 +14,7 @@
 // 10^10 replies.
 constexpr int kSlowInRow = 8;
 constexpr int kEarlySamples = 32;
-constexpr int kEarlyStep = 8;    // The median moves by an eighth of itself.
+constexpr int kEarlyStep = 8;  // The median moves by an eighth of itself.
 constexpr int kSettledStep = 64;
 
 std::chrono::microseconds Blend(std::chrono::microseconds mean,
--- a/src/coordination/upstream_dispatcher.cc
+++ b/src/coordination/upstream_dispatcher.cc
@@ -402,8 +402,8 @@
 
 bool upstream_dispatcher::CanMeetDeadline(const queued_attempt& attempt,
                                           monotonic_time now) const {
-  const auto ahead = static_cast<int>(
-      queue_.Ahead(attempt.batch->priority, attempt.flow));
+  const auto ahead =
+      static_cast<int>(queue_.Ahead(attempt.batch->priority, attempt.flow));
   const int limit = std::max(control_.Limit(), 1);
   const auto wait = control_.Times().Recent() * (ahead / limit);
   return now + wait + ExpectedTime() < attempt.deadline;
@@ -442,11 +442,10 @@
   if (!WantsConnections()) return;
   const bool working = !BlockedByPhase().has_value();
   // A connection whose exchange was cancelled may never be free again.
-  const auto ended = std::count_if(
-      exchanges_.begin(), exchanges_.end(),
-      [](const exchange& each) { return each.ended; });
-  const int wanted =
-      working ? control_.Limit() + static_cast<int>(ended) : 0;
+  const auto ended =
+      std::count_if(exchanges_.begin(), exchanges_.end(),
+                    [](const exchange& each) { return each.ended; });
+  const int wanted = working ? control_.Limit() + static_cast<int>(ended) : 0;
   while (pool_.ShouldOpen(wanted, now)) {
     const std::uint64_t id = port_.NextId();
     const open_connection command{id, definition_.address,
--- a/src/transport/upstream_connection.cc
+++ b/src/transport/upstream_connection.cc
@@ -33,8 +33,7 @@
 
 }  // namespace
 
-upstream_connection::upstream_connection(asio::io_context& io,
-                                         std::uint64_t id,
+upstream_connection::upstream_connection(asio::io_context& io, std::uint64_t id,
                                          upstream_connection_listener& listener)
     : id_(id),
       listener_(listener),
--- a/tests/unit/class_queue_test.cc
+++ b/tests/unit/class_queue_test.cc
@@ -62,8 +62,7 @@
         2 * ServedByClass(fresh, 100, kStart)[2]);
 }
 
-TEST_CASE("a flood of one caller neither delays nor drops another",
-          "[queue]") {
+TEST_CASE("a flood of one caller neither delays nor drops another", "[queue]") {
   class_queue queue({});
   std::size_t dropped = 0;
   for (std::uint64_t i = 0; i < 2000; ++i) {
--- a/tests/unit/model_upstream.cc
+++ b/tests/unit/model_upstream.cc
@@ -35,8 +35,8 @@
   running_.clear();
   for (auto& each : connections_) {
     if (!std::exchange(each.second.up, false) || each.second.silent) continue;
-    const connection_failed event{each.first, connection_failure::kReset,
-                                  false, each.second.exchange_id};
+    const connection_failed event{each.first, connection_failure::kReset, false,
+                                  each.second.exchange_id};
     ToSteward([this, event] { dispatcher.OnFailed(event); });
   }
 }
@@ -115,8 +115,8 @@
 
 bool model_upstream::SendWork(std::uint64_t connection_id,
                               std::uint64_t exchange_id,
-                              const queued_attempt& attempt,
-                              monotonic_time now, monotonic_time not_after) {
+                              const queued_attempt& attempt, monotonic_time now,
+                              monotonic_time not_after) {
   ++sent;
   connections_[connection_id].exchange_id = exchange_id;
   const bool warm = dispatcher.Summary().phase == steward_phase::kWarm;
@@ -138,8 +138,7 @@
     std::vector<attempt_key> ended;
     for (const queued_attempt& each : attempts) {
       for (auto run = running_.begin(); run != running_.end();) {
-        const bool match =
-            run->second.attempt_id == each.Attempt().attempt_id;
+        const bool match = run->second.attempt_id == each.Attempt().attempt_id;
         run = match ? running_.erase(run) : std::next(run);
       }
       const bool received = ran.count(each.Attempt().attempt_id) != 0;
@@ -196,8 +195,8 @@
   }
   ran.insert(attempt.Attempt().attempt_id);
   running_[exchange_id] = {connection_id, attempt.Attempt().attempt_id};
-  const auto left = std::chrono::duration_cast<microseconds>(
-      attempt.deadline - sent_at);
+  const auto left =
+      std::chrono::duration_cast<microseconds>(attempt.deadline - sent_at);
   const microseconds service = ServiceTime();
   At(now_ + std::min(service, left), [=] {
     if (running_.erase(exchange_id) == 0 || service > left) return;
--- a/tests/unit/steward_duty_test.cc
+++ b/tests/unit/steward_duty_test.cc
@@ -47,7 +47,6 @@
 
 struct fixture {
   fixture() {
-    settings.data_centre = "kigali";
     upstreams.ring = &ring;
     configuration config;
     config.services.push_back({"shop", {}, {}});
@@ -67,7 +66,8 @@
     shard_batch batch;
     batch.origin = {"entry-2", 9};
     batch.snapshot = 3;
-    batch.attempts = {{first, "a", "u1"}, {first + 1, "b", "u2"},
+    batch.attempts = {{first, "a", "u1"},
+                      {first + 1, "b", "u2"},
                       {first + 2, "c", "elsewhere"}};
     return batch;
   }
@@ -80,14 +80,14 @@
     upstreams.exchanges.clear();
   }
 
-  instance_settings settings;
+  instance_settings settings{"steward", "kigali"};
   virtual_timer_service timer;
   mock_peers peers;
   mock_metrics metrics;
   fake_upstreams upstreams;
   router_ring router{64};
   steward_ring ring{256};
-  steward_duty duty{settings, {"steward", 5}, timer, peers,
+  steward_duty duty{settings,  {"steward", 5}, timer,   peers,
                     upstreams, router,         metrics, ring};
 };
 
@@ -110,8 +110,7 @@
   f.duty.RunOnce();
 }
 
-TEST_CASE("a handover stops admission and lets running work finish",
-          "[duty]") {
+TEST_CASE("a handover stops admission and lets running work finish", "[duty]") {
   fixture f;
   ALLOW_CALL(f.peers, Send(_, _)).RETURN(true);
   f.ring.TryPush(batch_event{f.Batch(1), f.timer.Now() + milliseconds(500)});
@@ -124,8 +123,7 @@
   f.ring.TryPush(batch_event{f.Batch(10), f.timer.Now() + milliseconds(500)});
   f.duty.RunOnce();
   REQUIRE(states.size() == 2);
-  CHECK(states[0].state.find("\"in_flight_us\":[600000]") !=
-        std::string::npos);
+  CHECK(states[0].state.find("\"in_flight_us\":[600000]") != std::string::npos);
   CHECK(f.upstreams.exchanges.size() == 2);
   CHECK_FALSE(drained);
   f.AnswerAll();
@@ -136,7 +134,8 @@
   ALLOW_CALL(next.peers, Send(_, _)).RETURN(true);
   next.ring.TryPush(handover_event{states});
   std::string status;
-  next.ring.TryPush(status_query{[&](std::string s) { status = std::move(s); }});
+  next.ring.TryPush(
+      status_query{[&](std::string s) { status = std::move(s); }});
   next.duty.RunOnce();
   CHECK(status.find("\"unproven\":1") != std::string::npos);
 }
