Let the model upstream restart without resets and reset single connections

The model now restarts with its old connections only silent, and resets a connection whose request runs on.

--- a/src/coordination/response_times.cc
+++ b/src/coordination/response_times.cc
@@ -30,8 +30,7 @@
 void response_times::Add(std::chrono::microseconds took, bool warm) {
   recent_ = Blend(recent_, took);
   slow_in_row_ = Slow(took) ? slow_in_row_ + 1 : 0;
-  // Replies of an upstream that went cold unnoticed must not teach.
-  if (warm && slow_in_row_ == 0) LearnWarm(took);
+  if (warm) LearnWarm(took);
 }
 
 void response_times::LearnWarm(std::chrono::microseconds took) {
@@ -39,6 +38,8 @@
     warm_ = std::max(recent_, std::chrono::microseconds(1));
     warm_samples_ = 0;
   }
+  // A median that moves by small steps hardly follows the few replies of an
+  // upstream that went cold unnoticed.
   const int step = warm_samples_ < kEarlySamples ? kEarlyStep : kSettledStep;
   ++warm_samples_;
   const auto move = warm_ / step + std::chrono::microseconds(1);
--- a/src/coordination/upstream_dispatcher.cc
+++ b/src/coordination/upstream_dispatcher.cc
@@ -285,7 +285,7 @@
 
 upstream_state upstream_dispatcher::Release() {
   const monotonic_time now = port_.Now();
-  const upstream_state state = control_.Report(now);
+  upstream_state state = control_.Report(now);
   released_at_epoch_ = standing_.RosterEpoch();
   RefuseAll(shard_reason::kNotSteward);
   control_.Forget(phase_cause::kStandingLost, now);
--- a/tests/unit/model_upstream.cc
+++ b/tests/unit/model_upstream.cc
@@ -27,20 +27,39 @@
   Prove(milliseconds(1000000));
 }
 
-void model_upstream::Restart(milliseconds down, milliseconds cold) {
+void model_upstream::Restart(milliseconds down, milliseconds cold,
+                             bool resets) {
   incarnation = std::to_string(++life_);
   down_until_ = now_ + down;
   cold_until_ = now_ + down + cold;
   last_fall_ = 0;  // No earlier connection reaches the new process.
   running_.clear();
   for (auto& each : connections_) {
-    if (!std::exchange(each.second.up, false) || each.second.silent) continue;
-    const connection_failed event{each.first, connection_failure::kReset, false,
-                                  each.second.exchange_id};
-    ToSteward([this, event] { dispatcher.OnFailed(event); });
+    if (!each.second.up || each.second.silent) continue;
+    if (resets) {
+      Reset(each.first);
+    } else {
+      each.second.silent = true;
+    }
   }
 }
 
+void model_upstream::ResetOne() {
+  for (const auto& each : running_) {
+    if (Up(each.second.connection_id)) {
+      return Reset(each.second.connection_id);
+    }
+  }
+}
+
+void model_upstream::Reset(std::uint64_t connection_id) {
+  connection& broken = connections_[connection_id];
+  broken.up = false;
+  const connection_failed event{connection_id, connection_failure::kReset,
+                                false, broken.exchange_id};
+  ToSteward([this, event] { dispatcher.OnFailed(event); });
+}
+
 void model_upstream::GoColdInPlace(milliseconds cold) {
   cold_until_ = now_ + cold;
   last_fall_ = ++falls_;
--- a/tests/unit/model_upstream.h
+++ b/tests/unit/model_upstream.h
@@ -24,7 +24,10 @@
   model_upstream(const upstream_limits& limits, std::uint64_t seed);
 
   // What the test does to it.
-  void Restart(std::chrono::milliseconds down, std::chrono::milliseconds cold);
+  /// Without `resets` the open connections just go silent.
+  void Restart(std::chrono::milliseconds down, std::chrono::milliseconds cold,
+               bool resets = true);
+  void ResetOne();  ///< Something between resets a connection; its work runs.
   void GoColdInPlace(std::chrono::milliseconds cold);
   void Freeze(std::chrono::milliseconds time);  ///< Pauses the steward.
   void LoseAnswers(bool lose) { lose_answers_ = lose; }
@@ -77,6 +80,7 @@
   void Arrive(std::uint64_t connection_id, std::uint64_t exchange_id,
               const queued_attempt& attempt, monotonic_time sent_at,
               int signalled);
+  void Reset(std::uint64_t connection_id);
   void Answer(std::uint64_t connection_id, std::uint64_t exchange_id,
               upstream_reply reply);
   bool Up(std::uint64_t connection_id) const;
--- a/tests/unit/upstream_dispatcher_test.cc
+++ b/tests/unit/upstream_dispatcher_test.cc
@@ -43,7 +43,8 @@
   const std::uint64_t seed = GENERATE(range(1, 101));
   CAPTURE(seed);
   std::mt19937_64 random(seed);
-  model_upstream model({3, 1 + static_cast<int>(seed % 2), 10}, seed);
+  const int cold_slots = 1 + static_cast<int>(seed % 2);
+  model_upstream model({seed % 3 == 0 ? 8 : 3, cold_slots, 20}, seed);
   model.health_answer.incarnation = "1";
   model.LoseAnswers(true);
   Load(model, milliseconds(7000));
@@ -52,9 +53,9 @@
         random() % 8 == 0 ? upstream_phase::kCold : upstream_phase::kWarm;
     model.Prove(milliseconds(random() % 4 == 0 ? 300 : 100000));
     const milliseconds cold(500 + random() % 4000);
-    switch (random() % 5) {
+    switch (random() % 6) {
       case 0:
-        model.Restart(milliseconds(random() % 400), cold);
+        model.Restart(milliseconds(random() % 400), cold, random() % 2 == 0);
         break;
       case 1:
         model.GoColdInPlace(cold);
@@ -65,6 +66,9 @@
       case 3:
         model.SilenceOne();
         break;
+      case 4:
+        model.ResetOne();
+        break;
       default:
         model.health_answer.incarnation = model.incarnation;
     }
