--- /dev/null
+++ b/src/app/bench_command.cc
@@ -0,0 +1,209 @@
+#include <tclap/CmdLine.h>
+
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+
+#include "app/bench_direct.h"
+#include "app/bench_entries.h"
+#include "app/bench_load.h"
+#include "app/bench_plot.h"
+#include "app/command.h"
+#include "app/service_files.h"
+#include "protocol/configuration_codec.h"
+
+namespace papayaglade {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kTimeout{10000};
+constexpr int kMostPort = 65535;
+
+/// The options of one run.
+struct bench_options {
+  explicit bench_options(TCLAP::CmdLine& line)
+      : entries("", "entry", "callers' port of an instance; may be repeated",
+                false, "IP:PORT", line),
+        direct("", "direct",
+               "ask the upstreams of this service file themselves, as a "
+               "baseline",
+               false, "", "FILE", line),
+        map("", "partition-map",
+            "the service's `snapshots` object; needed with --direct", false, "",
+            "FILE", line),
+        workload("", "workload", "the workload to ask", false, "", "NAME",
+                 line),
+        query("", "query", "the query to ask", false, "bench", "TEXT", line),
+        callers("", "callers", "ask as this many callers in turn", false, 1,
+                "COUNT", line),
+        rate("", "rate", "queries a second", false, 10, "COUNT", line),
+        seconds("", "seconds", "how long to ask", false, 10, "SECONDS", line),
+        warm_up("", "warm-up-seconds", "asked first and not reported", false, 2,
+                "SECONDS", line),
+        connections("", "connections", "connections to each instance", false,
+                    64, "COUNT", line),
+        seed("", "seed", "of the arrival times", false, 1, "NUMBER", line),
+        constant("", "constant", "arrivals at equal gaps instead of Poisson",
+                 line),
+        name("", "name", "name of the curve in the plot", false, "this run",
+             "TEXT", line),
+        report("", "report", "write the report as JSON", false, "", "FILE",
+               line),
+        plot("", "plot", "draw the latencies as SVG", false, "", "FILE", line),
+        compare("", "compare", "also draw this earlier report", false, "FILE",
+                line) {}
+
+  TCLAP::MultiArg<std::string> entries;
+  TCLAP::ValueArg<std::string> direct;
+  TCLAP::ValueArg<std::string> map;
+  TCLAP::ValueArg<std::string> workload;
+  TCLAP::ValueArg<std::string> query;
+  TCLAP::ValueArg<int> callers;
+  TCLAP::ValueArg<double> rate;
+  TCLAP::ValueArg<int> seconds;
+  TCLAP::ValueArg<int> warm_up;
+  TCLAP::ValueArg<int> connections;
+  TCLAP::ValueArg<std::uint64_t> seed;
+  TCLAP::SwitchArg constant;
+  TCLAP::ValueArg<std::string> name;
+  TCLAP::ValueArg<std::string> report;
+  TCLAP::ValueArg<std::string> plot;
+  TCLAP::MultiArg<std::string> compare;
+};
+
+std::optional<endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  char* end = nullptr;
+  const long port = std::strtol(text.c_str() + colon + 1, &end, 10);
+  const bool whole = *end == '\0' && port > 0 && port <= kMostPort;
+  if (!whole) return std::nullopt;
+  return endpoint{text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+std::unique_ptr<bench_target> MakeEntries(boost::asio::io_context& io,
+                                          const bench_options& options) {
+  std::vector<endpoint> entries;
+  for (const std::string& each : options.entries.getValue()) {
+    const auto entry = ParseEndpoint(each);
+    if (!entry.has_value()) {
+      std::cerr << "--entry " << each << ": give an IP address and a port, "
+                << "such as 127.0.0.1:8080\n";
+      return nullptr;
+    }
+    entries.push_back(*entry);
+  }
+  if (entries.empty() || !options.workload.isSet()) {
+    std::cerr << "give --entry and --workload, or --direct\n";
+    return nullptr;
+  }
+  std::vector<std::string> bodies;
+  for (int i = 0; i < std::max(1, options.callers.getValue()); ++i) {
+    bodies.push_back(json({{"workload", options.workload.getValue()},
+                           {"query", options.query.getValue()},
+                           {"caller", "bench-" + std::to_string(i)}})
+                         .dump());
+  }
+  return std::make_unique<bench_entries>(
+      io, entries, static_cast<std::size_t>(options.connections.getValue()),
+      kTimeout, std::move(bodies));
+}
+
+std::unique_ptr<bench_target> MakeDirect(boost::asio::io_context& io,
+                                         const bench_options& options) {
+  const auto file = ReadFile(options.direct.getValue());
+  const auto map_text = ReadFile(options.map.getValue());
+  if (!file.has_value() || !map_text.has_value()) {
+    std::cerr << "cannot read --direct or --partition-map: name both files\n";
+    return nullptr;
+  }
+  fault_list faults;
+  const service_definition service =
+      ParseServiceFile(options.direct.getValue(), *file, faults);
+  PrintFaults(faults, false);
+  const auto snapshots = ParseSnapshots(service.name, *map_text);
+  if (!faults.empty()) return nullptr;
+  if (!snapshots.has_value() || snapshots->snapshots.empty()) {
+    std::cerr << "--partition-map holds no snapshot: give the value of the "
+                 "service's `snapshots` object\n";
+    return nullptr;
+  }
+  return std::make_unique<bench_direct>(io, service,
+                                        snapshots->snapshots.front(),
+                                        options.query.getValue(), kTimeout);
+}
+
+load_plan PlanOf(const bench_options& options) {
+  load_plan plan;
+  if (options.constant.getValue()) plan.arrivals = arrival_process::kConstant;
+  plan.queries_per_second = options.rate.getValue();
+  plan.duration = std::chrono::seconds(options.seconds.getValue());
+  plan.warm_up = std::chrono::seconds(options.warm_up.getValue());
+  plan.seed = options.seed.getValue();
+  return plan;
+}
+
+bool WriteFile(const std::string& path, const std::string& text) {
+  if (path.empty()) return true;
+  std::ofstream file(path);
+  file << text;
+  if (file.good()) return true;
+  std::cerr << "cannot write " << path << ": name a file in a folder that may "
+            << "be written\n";
+  return false;
+}
+
+bool WritePlot(const bench_options& options, const bench_report& report) {
+  std::vector<plotted_curve> curves;
+  for (const std::string& path : options.compare.getValue()) {
+    const json earlier =
+        json::parse(ReadFile(path).value_or(""), nullptr, false);
+    if (!earlier.is_object()) {
+      std::cerr << "--compare " << path
+                << ": give a file that --report wrote\n";
+      return false;
+    }
+    curves.push_back({earlier.value("name", path), CurveFromJson(earlier)});
+  }
+  curves.push_back({options.name.getValue(), report.Curve()});
+  return WriteFile(options.plot.getValue(), PlotCurves(curves));
+}
+
+json ReportOf(const bench_options& options, const bench_report& report) {
+  json whole = report.ToJson();
+  whole["name"] = options.name.getValue();
+  whole["rate"] = options.rate.getValue();
+  whole["seconds"] = options.seconds.getValue();
+  whole["seed"] = options.seed.getValue();
+  return whole;
+}
+
+}  // namespace
+
+exit_code RunBench(std::vector<std::string>& arguments) {
+  TCLAP::CmdLine line("Offers an open-loop load and reports the latencies.",
+                      ' ', kVersionText);
+  const bench_options options(line);
+  line.parse(arguments);
+  if (options.rate.getValue() <= 0 || options.seconds.getValue() <= 0) {
+    std::cerr << "--rate and --seconds must be over zero\n";
+    return exit_code::kUsage;
+  }
+  boost::asio::io_context io(1);
+  const auto target = options.direct.isSet() ? MakeDirect(io, options)
+                                             : MakeEntries(io, options);
+  if (target == nullptr) return exit_code::kUsage;
+  const bench_report report = bench_load(io, *target, PlanOf(options)).Run();
+  const json whole = ReportOf(options, report);
+  std::cout << whole.dump(2) << "\n";
+  const bool written =
+      WriteFile(options.report.getValue(), whole.dump(2) + "\n") &&
+      (options.plot.getValue().empty() || WritePlot(options, report));
+  return written && report.Queries() > 0 ? exit_code::kDone
+                                         : exit_code::kFailed;
+}
+
+}  // namespace papayaglade
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -17,6 +17,7 @@
     {"status", "show an instance", RunStatus},
     {"data-centre", "take a data centre out, or back in", RunDataCentre},
     {"explain", "tell how the shards of a recent request fared", RunExplain},
+    {"bench", "offer load and report latencies", RunBench},
     {"version", "print the version", RunVersion},
 };
 
