Write accounts as text and let the hedge estimate fade faster

The estimate kept the slow answers of a cold start for minutes: with a fade every 1024 samples it forgets them after a few queries.

--- a/src/coordination/hedge_estimator.cc
+++ b/src/coordination/hedge_estimator.cc
@@ -8,7 +8,7 @@
 constexpr double kShortestUs = 10.0;
 constexpr double kLongestUs = 100'000'000.0;
 constexpr double kLeastWeight = 200.0;
-constexpr std::size_t kFadePeriod = 4096;
+constexpr std::size_t kFadePeriod = 1024;
 constexpr double kFadeFactor = 0.5;
 
 }  // namespace
--- a/src/protocol/caller_codec.cc
+++ b/src/protocol/caller_codec.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "protocol/json_reader.h"
+#include "protocol/json_text.h"
 
 namespace papayaglade {
 
@@ -12,6 +13,8 @@
 
 constexpr std::int64_t kLongestDeadlineMs = 600'000;
 constexpr std::size_t kLongestLabel = 128;
+constexpr std::size_t kAccountBytes = 256;
+constexpr std::size_t kShardLineBytes = 128;
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
@@ -70,11 +73,55 @@
   return kStatusUnavailable;
 }
 
+void AppendMember(const char* name, const std::string& text, std::string& out) {
+  out += name;
+  AppendJsonString(text, out);
+}
+
+void AppendMember(const char* name, std::int64_t number, std::string& out) {
+  out += name;
+  out += std::to_string(number);
+}
+
+void AppendShard(const shard_account& line, std::string& out) {
+  AppendMember(R"({"shard":)", line.shard, out);
+  AppendMember(R"(,"outcome":)", ShardOutcomeName(line.outcome), out);
+  AppendMember(R"(,"reason":)", ShardReasonName(line.reason), out);
+  AppendMember(R"(,"upstream":)", line.upstream, out);
+  AppendMember(R"(,"attempts":)", line.attempts, out);
+  AppendMember(R"(,"time_us":)", line.time.count(), out);
+  out += '}';
+}
+
+// Written as text: an account has a line for each of hundreds of shards, and a
+// document tree would cost more than all the rest of the answer.
+std::string AccountText(const account& details) {
+  std::string out;
+  out.reserve(kAccountBytes + kShardLineBytes * details.shards.size());
+  AppendMember(R"({"request_id":)", details.request_id, out);
+  AppendMember(R"(,"workload":)", details.workload, out);
+  out += R"(,"snapshot":)" + std::to_string(details.snapshot);
+  out += R"(,"coverage":)" + json(details.coverage).dump();
+  AppendMember(R"(,"retries":)", details.retries, out);
+  AppendMember(R"(,"hedges":)", details.hedges, out);
+  AppendMember(R"(,"restarts":)", details.restarts, out);
+  out += R"(,"shards":[)";
+  for (const shard_account& line : details.shards) {
+    AppendShard(line, out);
+    out += ',';
+  }
+  if (!details.shards.empty()) out.pop_back();
+  out += "]}";
+  return out;
+}
+
 http_response FormatFailure(const char* name, int status, const error& cause,
                             const account& details) {
-  json body = {{"outcome", name}, {"error", ErrorToJson(cause)}};
-  body["account"] = AccountToJson(details);
-  return {status, "application/json", Dump(body)};
+  std::string body;
+  AppendMember(R"({"outcome":)", name, body);
+  body += R"(,"error":)" + Dump(ErrorToJson(cause));
+  body += R"(,"account":)" + AccountText(details) + "}";
+  return {status, "application/json", std::move(body)};
 }
 
 struct outcome_formatter {
@@ -84,10 +131,9 @@
       hits.push_back(
           {{"key", each.key}, {"score", each.score}, {"text", each.text}});
     }
-    json body = {{"outcome", "answered"}};
-    body["hits"] = std::move(hits);
-    body["account"] = AccountToJson(outcome.details);
-    return {kStatusOk, "application/json", Dump(body)};
+    std::string body = R"({"outcome":"answered","hits":)" + Dump(hits);
+    body += R"(,"account":)" + AccountText(outcome.details) + "}";
+    return {kStatusOk, "application/json", std::move(body)};
   }
   http_response operator()(const not_run& outcome) const {
     return FormatFailure("not_run", StatusOf(outcome.cause.kind), outcome.cause,
@@ -142,31 +188,16 @@
 }
 
 std::string FormatFinishedRequest(const finished_request& request) {
-  json body = {{"outcome", request.outcome},
-               {"caller", request.caller},
-               {"latency_us", request.latency.count()},
-               {"deadline_ms", request.deadline.count()},
-               {"account", AccountToJson(request.details)}};
+  std::string body;
+  AppendMember(R"({"outcome":)", request.outcome, body);
+  AppendMember(R"(,"caller":)", request.caller, body);
+  AppendMember(R"(,"latency_us":)", request.latency.count(), body);
+  AppendMember(R"(,"deadline_ms":)", request.deadline.count(), body);
   if (!request.cause.message.empty()) {
-    body["error"] = ErrorToJson(request.cause);
-  }
-  return Dump(body);
-}
-
-nlohmann::json AccountToJson(const account& details) {
-  json shards = json::array();
-  for (const shard_account& each : details.shards) {
-    shards.push_back({{"shard", each.shard},
-                      {"outcome", ShardOutcomeName(each.outcome)},
-                      {"reason", ShardReasonName(each.reason)},
-                      {"upstream", each.upstream},
-                      {"attempts", each.attempts},
-                      {"time_us", each.time.count()}});
+    body += R"(,"error":)" + Dump(ErrorToJson(request.cause));
   }
-  return {{"request_id", details.request_id}, {"workload", details.workload},
-          {"snapshot", details.snapshot},     {"coverage", details.coverage},
-          {"retries", details.retries},       {"hedges", details.hedges},
-          {"restarts", details.restarts},     {"shards", std::move(shards)}};
+  body += R"(,"account":)" + AccountText(request.details) + "}";
+  return body;
 }
 
 nlohmann::json ErrorToJson(const error& cause) {
--- a/src/protocol/caller_codec.h
+++ b/src/protocol/caller_codec.h
@@ -24,7 +24,6 @@
 /// The account and timings of a finished request as JSON text.
 std::string FormatFinishedRequest(const finished_request& request);
 
-nlohmann::json AccountToJson(const account& details);
 nlohmann::json ErrorToJson(const error& cause);
 
 }  // namespace papayaglade
