--- a/tests/unit/tier_model.cc
+++ b/tests/unit/tier_model.cc
@@ -104,6 +104,7 @@
 void tier_model::Collect() {
   for (engine_action& each : engine.TakeActions()) {
     if (auto* batch = std::get_if<send_batch>(&each.action)) {
+      ++batches;
       for (const shard_attempt& attempt : batch->batch.attempts) {
         sent.push_back({batch->steward, batch->batch.snapshot, attempt, now});
         if (!upstreams) continue;
--- a/tests/unit/tier_model.h
+++ b/tests/unit/tier_model.h
@@ -55,6 +55,7 @@
   /// Called for each attempt sent; none: the attempt is never answered.
   std::function<std::optional<planned_end>(const seen_attempt&)> upstreams;
   std::vector<seen_attempt> sent;
+  int batches = 0;
   std::vector<std::uint64_t> cancelled;
   std::map<std::uint64_t, caller_outcome> outcomes;
   std::map<std::uint64_t, monotonic_time> settled_at;
