--- a/src/app/roster_part.h
+++ b/src/app/roster_part.h
@@ -14,6 +14,7 @@
 
  private:
   void Write(const roster& base, std::uint64_t version);
+  void SendStanding(const roster& own, monotonic_time now);
   std::vector<std::string> OwnUpstreams() const;
 
   control_context& context_;
--- a/src/protocol/settings_codec.cc
+++ b/src/protocol/settings_codec.cc
@@ -100,6 +100,9 @@
   result.callers = ReadEndpoint(reader.Object("callers"));
   result.operators = ReadEndpoint(reader.Object("operators"));
   result.peers = ReadEndpoint(reader.Object("peers"));
+  result.peers_listen = reader.Has("peers_listen")
+                            ? ReadEndpoint(reader.Object("peers_listen"))
+                            : result.peers;
   result.platform = ReadEndpoint(reader.Object("platform"));
   result.seeds = ReadSeeds(reader);
   result.peer_key = reader.RequiredString("peer_key");
--- a/src/state/instance_settings.h
+++ b/src/state/instance_settings.h
@@ -43,10 +43,11 @@
 struct instance_settings {
   std::string name;
   std::string data_centre;
-  endpoint callers;    ///< HTTP for callers.
-  endpoint operators;  ///< HTTP for metrics, status and orders.
-  endpoint peers;      ///< Peer links from other instances.
-  endpoint platform;   ///< The Object API.
+  endpoint callers;       ///< HTTP for callers.
+  endpoint operators;     ///< HTTP for metrics, status and orders.
+  endpoint peers;         ///< Where other instances dial peer links.
+  endpoint peers_listen;  ///< Where they arrive, behind a port mapping.
+  endpoint platform;      ///< The Object API.
   std::vector<seed_peer> seeds;
   std::string peer_key;  ///< Shared by all instances; never logged.
   std::chrono::milliseconds platform_timeout{1000};
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -13,6 +13,7 @@
 using std::chrono::seconds;
 
 constexpr std::uint64_t kSeed = 20261204;
+constexpr int kUpdates = 40;
 constexpr milliseconds kJoinBound{5000};
 constexpr milliseconds kProofBound{1000};
 // Three seconds from the freeze to the verdict, and a probe round.
@@ -160,7 +161,8 @@
 TEST_CASE("member updates end in one table in any order", "[membership]") {
   std::mt19937 random(kSeed);
   std::vector<member_update> updates;
-  for (int i = 0; i < 40; ++i) {
+  updates.reserve(kUpdates);
+  for (int i = 0; i < kUpdates; ++i) {
     updates.push_back({{Name(static_cast<int>(random() % 3)), random() % 3},
                        {},
                        static_cast<member_state>(random() % 5),
