--- a/tests/unit/control_cost_test.cc
+++ b/tests/unit/control_cost_test.cc
@@ -52,6 +52,7 @@
     for (int centre = 0; centre < size.centres; ++centre) {
       if (Centre(centre) == each.second.data_centre) continue;
       std::vector<std::string> names;
+      names.reserve(static_cast<std::size_t>(size.members));
       for (int i = 0; i < size.members; ++i) names.push_back(Name(centre, i));
       const auto chosen = RendezvousPick(each.first, names, kGateways);
       gateways.insert(gateways.end(), chosen.begin(), chosen.end());
