--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -36,6 +36,8 @@
 constexpr long kHandshakeTimeoutMs = 1000;
 constexpr std::chrono::milliseconds kRefusalTimeout{500};
 constexpr std::chrono::milliseconds kLinkCheckPeriod{100};
+// Whoever does not show the key by then is not an instance of the system.
+constexpr std::chrono::milliseconds kGreetingTimeout{2000};
 // A link with unanswered work is asked for a pong after the first time and
 // replaced after the second.
 constexpr std::chrono::milliseconds kProbeAfterSilence{500};
@@ -139,7 +141,7 @@
     bool dialled = false;  ///< By this instance; else accepted.
     bool greeted = false;  ///< The peer's hello was accepted.
     instance_identity peer;
-    monotonic_time last_received;
+    monotonic_time opened;
     /// Oldest message or ping that nothing has been received since.
     std::optional<monotonic_time> unanswered_since;
   };
@@ -237,7 +239,7 @@
     added.handle = handle;
     added.dialled = dialled;
     added.peer.name = peer;
-    added.last_received = monotonic_clock::now();
+    added.opened = monotonic_clock::now();
     const peer_hello hello{self_, settings_.data_centre, settings_.peer_key};
     Write(added, EncodePeerMessage(hello), true);
   }
@@ -371,7 +373,6 @@
   void Heard(const link_handle& handle) {
     const auto found = links_.find(handle);
     if (found == links_.end()) return;
-    found->second.last_received = monotonic_clock::now();
     found->second.unanswered_since.reset();
   }
 
@@ -380,6 +381,13 @@
     if (found == links_.end()) return;
     const link closed = found->second;
     links_.erase(found);
+    // A dialled link that ends before its greeting is a dial that failed;
+    // otherwise no later message would dial again.
+    if (closed.dialled && !closed.greeted) {
+      const std::string& name = closed.peer.name;
+      return OnDialFailed({name, peers_[name].incarnation},
+                          peer_link_event::link_state::kClosed);
+    }
     if (closed.greeted && !HasLink(closed.peer)) {
       Report(closed.peer, peer_link_event::link_state::kClosed);
     }
@@ -435,7 +443,10 @@
     std::vector<link_handle> silent;
     for (auto& each : links_) {
       link& checked = each.second;
-      if (!checked.unanswered_since) continue;
+      const bool anonymous =
+          !checked.greeted && now - checked.opened >= kGreetingTimeout;
+      if (anonymous) silent.push_back(each.first);
+      if (anonymous || !checked.unanswered_since) continue;
       const auto waited = now - *checked.unanswered_since;
       if (waited >= kReplaceAfterSilence) {
         silent.push_back(each.first);
