--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -13,6 +13,7 @@
 using std::chrono::seconds;
 
 constexpr std::uint64_t kSeed = 20261204;
+constexpr int kUpdates = 40;
 constexpr milliseconds kJoinBound{5000};
 constexpr milliseconds kProofBound{1000};
 // Three seconds from the freeze to the verdict, and a probe round.
@@ -72,6 +73,21 @@
   }
 }
 
+TEST_CASE("an instance's own pause is no silence of others", "[membership]") {
+  membership paused({{"entry-1", 1}, {}, member_state::kAlive, 0}, "kigali", {},
+                    kSeed);
+  monotonic_time now{seconds(1)};
+  const member_update other{{"entry-2", 1}, {}, member_state::kAlive, 0};
+  paused.OnMessage(other.identity, member_list{false, "kigali", {other}}, now);
+  for (const monotonic_time end = now + milliseconds(300); now < end;) {
+    now += milliseconds(50);
+    paused.OnTick(now);
+  }
+  now += seconds(30);
+  paused.OnTick(now);
+  CHECK(paused.Members().at(0).state == member_state::kAlive);
+}
+
 TEST_CASE("a path broken between two members harms neither", "[membership]") {
   virtual_group group(kSeed);
   StartGroup(group, 7);
@@ -160,7 +176,8 @@
 TEST_CASE("member updates end in one table in any order", "[membership]") {
   std::mt19937 random(kSeed);
   std::vector<member_update> updates;
-  for (int i = 0; i < 40; ++i) {
+  updates.reserve(kUpdates);
+  for (int i = 0; i < kUpdates; ++i) {
     updates.push_back({{Name(static_cast<int>(random() % 3)), random() % 3},
                        {},
                        static_cast<member_state>(random() % 5),
