--- a/src/coordination/roster_keeper.cc
+++ b/src/coordination/roster_keeper.cc
@@ -10,11 +10,11 @@
 using std::chrono::milliseconds;
 
 // Changes that arrive within this time of each other share one write.
-constexpr milliseconds kCoalesce{100};
+constexpr milliseconds kCoalesce{50};
 // A rank's head start over the next: a write and the spread of its result.
 constexpr milliseconds kRankStep{200};
 constexpr milliseconds kLongestRankDelay{3000};
-constexpr milliseconds kJitter{100};
+constexpr milliseconds kJitter{50};
 constexpr milliseconds kFirstBackOff{500};
 constexpr int kMostDoublings = 4;
 
--- a/src/coordination/stewardship.cc
+++ b/src/coordination/stewardship.cc
@@ -113,6 +113,9 @@
   fence_.Adopt(found, now);
   keeper_.Adopt(found, now);
   MarkGone(now);
+  // Every rival is asked at once: one that freezes soon after a join could
+  // else not be known to count on this instance.
+  next_ask_ = now;
   ApplyHandovers();
 }
 
@@ -218,6 +221,8 @@
 void stewardship::Handle(const instance_identity& from,
                          const standing_question& message, monotonic_time now) {
   if (message.epoch > newest_.epoch) read_wanted_ = true;
+  // The question shows what the other knows as well as its answer would.
+  fence_.OnAnswer(from, message.epoch, 0, now);
   standing_answer answer{message.sequence, newest_.epoch, ReleasedEpoch()};
   answer.proof_age =
       proof_.PlatformProofAge(now).value_or(std::chrono::microseconds(-1));
--- a/src/state/instance_settings.h
+++ b/src/state/instance_settings.h
@@ -16,8 +16,8 @@
   std::chrono::milliseconds probe_period{500};
   std::chrono::milliseconds probe_timeout{150};
   std::chrono::milliseconds suspicion{1500};
-  std::chrono::milliseconds lease{2000};
-  std::chrono::milliseconds longest_request{2000};
+  std::chrono::milliseconds lease{1000};
+  std::chrono::milliseconds longest_request{1300};
   std::chrono::milliseconds shutdown_bound{30000};
   /// How long the balancer may take to see that an instance is not ready.
   std::chrono::milliseconds balancer_notice{1000};
