--- a/src/coordination/stewardship_timing.h
+++ b/src/coordination/stewardship_timing.h
@@ -8,7 +8,7 @@
 /// The times that standing and takeover are built from; equal in all instances
 /// of a data centre.
 struct stewardship_timing {
-  std::chrono::milliseconds lease{1200};
+  std::chrono::milliseconds lease{1000};
   std::chrono::milliseconds longest_request{1300};
   /// How long peers alone may keep a steward proven with the platform out.
   std::chrono::milliseconds peer_horizon{std::chrono::hours(1)};
