--- a/src/app/control_part.h
+++ b/src/app/control_part.h
@@ -33,6 +33,8 @@
   virtual bool Send(const std::string& peer, control_message message) = 0;
   /// False when the stewards' ring is full; try again at the next tick.
   virtual bool SendToStewards(steward_event event) = 0;
+  /// Puts an event into this duty's own ring; may be called on any thread.
+  virtual bool PostToControl(control_duty_event event) = 0;
   /// Spends one call of this instance's budget, when there is one to spend.
   /// `done` is called once, always later. A put whose answer is lost is
   /// settled by reading back before `done` is called.
--- a/src/app/roster_part.h
+++ b/src/app/roster_part.h
@@ -1,24 +1,48 @@
 #ifndef PAPAYAGLADE_APP_ROSTER_PART_H_
 #define PAPAYAGLADE_APP_ROSTER_PART_H_
 
+#include <deque>
+#include <functional>
+
 #include "app/control_part.h"
+#include "coordination/stewardship.h"
 
 namespace papayaglade {
 
-/// Keeps this instance in its data centre's roster.
+/// Carries out what stewardship decides: rosters, standing and hand-overs.
 class roster_part : public control_part {
  public:
   explicit roster_part(control_context& context);
 
   void OnTick(monotonic_time now) override;
+  void OnControlMessage(const instance_identity& from,
+                        const control_message& message) override;
+  void OnMembersChanged() override;
+  void OnObject(const versioned_object& object) override;
+  void OnHandover(const handover_event& event) override;
+  void OnDrain(const std::function<void()>& done) override;
+  void Describe(nlohmann::json& status) const override;
 
  private:
-  void Write(const roster& base, std::uint64_t version);
-  void SendStanding(const roster& own, monotonic_time now);
-  std::vector<std::string> OwnUpstreams() const;
+  void TakeUpstreams();
+  void Act();
+  void Perform(send_control& action);
+  void Perform(read_roster& action);
+  void Perform(write_roster& action);
+  void Perform(standing_update& action);
+  void Perform(release_upstreams& action);
+  void Perform(handover_event& action);
+  void Perform(leave_finished& action);
+  void PushToStewards(steward_event event);
+  void FlushToStewards();
+  roster_answer Answer(const platform_reply& reply, monotonic_time sent) const;
+  void OfferNewest();
 
   control_context& context_;
-  bool writing_ = false;
+  stewardship stewardship_;
+  std::uint64_t offered_epoch_ = 0;
+  std::deque<steward_event> waiting_;  ///< For room in the stewards' ring.
+  std::function<void()> drained_;
 };
 
 }  // namespace papayaglade
--- a/src/protocol/control_codec.cc
+++ b/src/protocol/control_codec.cc
@@ -18,6 +18,10 @@
 constexpr int kVersionDigest = 5;
 constexpr int kObjectRequest = 6;
 constexpr int kObjectReply = 7;
+constexpr int kStandingQuestion = 20;
+constexpr int kStandingAnswer = 21;
+constexpr int kStewardshipHandover = 22;
+constexpr int kStewardshipHandoverAck = 23;
 
 // No sender comes near these; they bound what a broken one can cost.
 constexpr std::size_t kMostMembers = 4096;
@@ -27,7 +31,8 @@
 json Encode(const member_update& update) {
   return json::array({update.identity.name, update.identity.incarnation,
                       update.peers.address, update.peers.port,
-                      static_cast<int>(update.state), update.refutation});
+                      static_cast<int>(update.state), update.refutation,
+                      update.operators.address, update.operators.port});
 }
 
 json Encode(const std::vector<member_update>& updates) {
@@ -74,6 +79,24 @@
                         static_cast<int>(object.key.kind), object.key.name,
                         object.version, object.value});
   }
+  json operator()(const standing_question& message) const {
+    return json::array({kStandingQuestion, message.sequence, message.epoch});
+  }
+  json operator()(const standing_answer& message) const {
+    return json::array({kStandingAnswer, message.sequence, message.epoch,
+                        message.released_epoch, message.proof_age.count()});
+  }
+  json operator()(const stewardship_handover& message) const {
+    json upstreams = json::array();
+    for (const handover& each : message.upstreams) {
+      upstreams.push_back(json::array({each.upstream, each.state}));
+    }
+    return json::array(
+        {kStewardshipHandover, message.epoch, std::move(upstreams)});
+  }
+  json operator()(const stewardship_handover_ack& message) const {
+    return json::array({kStewardshipHandoverAck, message.epoch});
+  }
 };
 
 // The decoders below throw a std::exception on a wrong shape, type or size.
@@ -99,6 +122,7 @@
   update.peers = {DecodeName(in.at(2)), in.at(3).get<std::uint16_t>()};
   update.state = DecodeEnum(in.at(4), member_state::kLeft);
   in.at(5).get_to(update.refutation);
+  update.operators = {DecodeName(in.at(6)), in.at(7).get<std::uint16_t>()};
   return update;
 }
 
@@ -160,6 +184,25 @@
   return message;
 }
 
+standing_answer DecodeStandingAnswer(const json& in) {
+  standing_answer message;
+  in.at(1).get_to(message.sequence);
+  in.at(2).get_to(message.epoch);
+  in.at(3).get_to(message.released_epoch);
+  message.proof_age = std::chrono::microseconds(in.at(4).get<std::int64_t>());
+  return message;
+}
+
+stewardship_handover DecodeHandover(const json& in) {
+  stewardship_handover message;
+  in.at(1).get_to(message.epoch);
+  for (const json& each : in.at(2)) {
+    message.upstreams.push_back(
+        {each.at(0).get<std::string>(), each.at(1).get<std::string>()});
+  }
+  return message;
+}
+
 }  // namespace
 
 nlohmann::json EncodeControlMessage(const control_message& message) {
@@ -184,6 +227,15 @@
       return object_request{DecodeKey(in.at(1), in.at(2))};
     case kObjectReply:
       return DecodeObjectReply(in);
+    case kStandingQuestion:
+      return standing_question{in.at(1).get<std::uint64_t>(),
+                               in.at(2).get<std::uint64_t>()};
+    case kStandingAnswer:
+      return DecodeStandingAnswer(in);
+    case kStewardshipHandover:
+      return DecodeHandover(in);
+    case kStewardshipHandoverAck:
+      return stewardship_handover_ack{in.at(1).get<std::uint64_t>()};
     default:
       return std::nullopt;
   }
--- a/tests/unit/single_run_test.cc
+++ b/tests/unit/single_run_test.cc
@@ -126,7 +126,11 @@
     config->services.push_back(service);
     auto view = std::make_shared<cluster_view>();
     view->config = config;
-    view->rosters.push_back({"a", 1, {}, {{"van", "sa"}}});
+    roster own;
+    own.data_centre = "a";
+    own.epoch = 1;
+    own.assignments.push_back({"van", "sa"});
+    view->rosters.push_back(own);
     return view;
   }
 
