--- a/tests/scenarios/runner/system.py
+++ b/tests/scenarios/runner/system.py
@@ -137,7 +137,8 @@
     def steward_of(self, upstream):
         centre = self.topology.upstreams[upstream]["centre"]
         rosters = self.summary("platform")["platform"]["objects"]["roster"]
-        return rosters[centre]["value"]["assignments"][upstream]
+        steward, _ = rosters[centre]["value"]["assignments"][upstream]
+        return steward
 
     def signal(self, name, number):
         self.processes[name].send_signal(number)
