--- a/src/app/roster_part.cc
+++ b/src/app/roster_part.cc
@@ -17,7 +17,6 @@
   return timing;
 }
 
-<<<<<<< HEAD
 roster_member SelfOf(const control_context& context) {
   const instance_settings& settings = context.Settings();
   return {context.Self(), settings.peers, settings.operators, 0};
@@ -60,23 +59,6 @@
     if (each.data_centre != context_.Settings().data_centre) continue;
     offered_epoch_ = std::max(offered_epoch_, each.epoch);
     stewardship_.OnRoster(each, context_.Now());
-=======
-void roster_part::Write(const roster& base, std::uint64_t version) {
-  roster next = base;
-  const instance_identity& self = context_.Self();
-  next.members.erase(std::remove_if(next.members.begin(), next.members.end(),
-                                    [&self](const roster_member& each) {
-                                      return each.identity.name == self.name;
-                                    }),
-                     next.members.end());
-  const instance_settings& settings = context_.Settings();
-  next.members.push_back({self, settings.peers, settings.operators});
-  next.assignments.clear();
-  const std::vector<std::string> upstreams = OwnUpstreams();
-  for (std::size_t i = 0; i < upstreams.size(); ++i) {
-    const roster_member& steward = next.members[i % next.members.size()];
-    next.assignments.push_back({upstreams[i], steward.identity.name});
->>>>>>> main
   }
   Act();
 }
--- a/src/coordination/roster_keeper.cc
+++ b/src/coordination/roster_keeper.cc
@@ -159,6 +159,12 @@
     each.joined_epoch = next.epoch;
     next.members.push_back(std::move(each));
   }
+  next.retired.erase(std::remove_if(next.retired.begin(), next.retired.end(),
+                                    [&next](const roster_member& each) {
+                                      return Contains(next.members,
+                                                      each.identity);
+                                    }),
+                     next.retired.end());
   std::sort(next.members.begin(), next.members.end(), ByName);
   std::vector<std::string> names;
   for (const roster_member& each : next.members) {
--- a/src/coordination/takeover_fence.cc
+++ b/src/coordination/takeover_fence.cc
@@ -33,14 +33,16 @@
     rival& kept = rivals[each.identity.incarnation];
     const auto known = rivals_.find(each.identity.incarnation);
     if (known != rivals_.end()) kept = known->second;
+    // One that comes back had only been forgotten after the longest wait.
+    if (std::exchange(kept.unlisted, false)) kept.gone_at.reset();
     kept.member = each;
     kept.retired = retired;
   };
+  for (const roster_member& each : newest.retired) keep(each, true);
   for (const roster_member& each : newest.members) {
     if (each.identity == self_) joined = each.joined_epoch;
     keep(each, false);
   }
-  for (const roster_member& each : newest.retired) keep(each, true);
   // A process that no list names any more has been proven gone, but what it
   // sent may still run.
   const auto run_out = WithClockMargin(timing_.longest_request);
@@ -49,6 +51,7 @@
     rival& ended = rivals.emplace(incarnation, known).first->second;
     if (Lists(newest, ended.member.identity)) continue;
     ended.retired = true;
+    ended.unlisted = true;
     ended.gone_at = ended.gone_at.value_or(now);
   }
   rivals_ = std::move(rivals);
--- a/src/coordination/takeover_fence.h
+++ b/src/coordination/takeover_fence.h
@@ -44,6 +44,7 @@
   struct rival {
     roster_member member;
     bool retired = false;
+    bool unlisted = false;  ///< No list names it, so it counts as gone.
     std::optional<monotonic_time> counts_self_since;
     std::uint64_t released_epoch = 0;
     monotonic_time released_at;
--- a/src/state/cluster_view.h
+++ b/src/state/cluster_view.h
@@ -32,12 +32,12 @@
 struct roster {
   std::string data_centre;
   std::uint64_t epoch = 0;
-  std::uint64_t configuration_version = 0;  ///< That named the upstreams.
   std::vector<roster_member> members;
   std::vector<steward_assignment> assignments;
   /// Former members whose process is not proven gone.
-  std::vector<roster_member> retired;
-  std::string writer;  ///< Settles a write whose answer was lost.
+  std::vector<roster_member> retired{};
+  std::string writer{};  ///< Which process and write of it this is.
+  std::uint64_t configuration_version = 0;  ///< That named the upstreams.
 };
 
 /// An operator's order about a data centre; the highest generation holds.
--- a/src/state/member.h
+++ b/src/state/member.h
@@ -29,7 +29,7 @@
   member_state state = member_state::kHinted;
   std::uint32_t refutation = 0;  ///< Raised by the member to refute suspicion.
   monotonic_time since;          ///< When `state` began, by this clock.
-  endpoint operators;            ///< Where operators reach the instance.
+  endpoint operators{};          ///< Where operators reach the instance.
 };
 
 /// What one instance tells another about a member; see member_table.
@@ -38,7 +38,7 @@
   endpoint peers;
   member_state state = member_state::kAlive;
   std::uint32_t refutation = 0;
-  endpoint operators;
+  endpoint operators{};
 };
 
 }  // namespace papayaglade
--- a/tests/unit/exploration_world.h
+++ b/tests/unit/exploration_world.h
@@ -72,6 +72,7 @@
   std::multimap<monotonic_time, std::function<void()>> events_;
   std::vector<std::unique_ptr<process>> processes_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  bool calm_ = false;  ///< No message is lost or late.
   bool platform_up_ = true;
   int lost_answers_ = 0;  ///< In 100.
   std::uint64_t version_ = 0;
