--- a/tests/scenarios/runner/expectations.py
+++ b/tests/scenarios/runner/expectations.py
@@ -1,5 +1,6 @@
 """The forms of `expect`: conditions with bounds on time."""
 
+import collections
 import operator
 import time
 
@@ -9,6 +10,7 @@
 from .system import wait_until
 
 QUIET_S = 2.0
+REASONS_SHOWN = 6
 COMPARISONS = {"==": operator.eq, "!=": operator.ne, "<=": operator.le,
                ">=": operator.ge, "<": operator.lt, ">": operator.gt}
 
@@ -50,7 +52,7 @@
         names = words or list(self.topology.instances)
         self.until(bound_s, f"{names} ready", lambda: (
             all(self.system.is_ready(name) for name in names),
-            {name: self.system.is_ready(name) for name in names}))
+            {name: self.system.readiness(name) for name in names}))
 
     def expect_not_ready(self, words, _, bound_s):
         self.until(bound_s, f"{words} not ready", lambda: (
@@ -90,9 +92,8 @@
     def version(self, name):
         try:
             port = self.system.port(f"operators/{name}")
-            status = http.call_json(port, "GET", "/status")
-            return status.get("configuration_version")
-        except (OSError, ValueError):
+            return http.call_json(port, "GET", "/configuration")["version"]
+        except (OSError, ValueError, KeyError):
             return None
 
     # Answers
@@ -128,8 +129,26 @@
         full (share), cut-off, outcome:NAME, p50-ms, p99-ms, repeats (share)"""
         name, what, comparison, value = words
         since = self.since(options)
-        self.compare(f"load {name}", what, comparison, float(value), bound_s,
-                     lambda: self.load_figure(name, what, since))
+        try:
+            self.compare(f"load {name}", what, comparison, float(value),
+                         bound_s, lambda: self.load_figure(name, what, since))
+        except Failure as failed:
+            why = self.unanswered(name, since)
+            raise Failure(failed.expected, f"{failed.seen}; {why}") from failed
+
+    def unanswered(self, name, since):
+        """The commonest reasons of a load's answers that are not whole."""
+        reasons = collections.Counter()
+        for answer in self.callers.of_load(name, since):
+            if answer.outcome == "answered" and answer.coverage == 1:
+                continue
+            shards = {each["reason"] or each["outcome"]
+                      for each in answer.account.get("shards", [])
+                      if each["outcome"] != "answered"}
+            kind = answer.body.get("error", {}).get("kind", "")
+            reasons[f"{answer.outcome} {kind} {answer.error} "
+                    f"{sorted(shards)} at {answer.instance}"] += 1
+        return reasons.most_common(REASONS_SHOWN)
 
     def since(self, options):
         """since=TARGET: from the last command on TARGET on."""
@@ -234,8 +253,11 @@
             raise Failure("work at other upstreams meanwhile", "none for 1 s")
 
     def expect_new_work(self, words, _, bound_s):
-        """expect new-work UPSTREAM: some arrives after the last command"""
-        start = self.steps.command_times[words[0]]
+        """expect new-work UPSTREAM: some arrives after the last command on it
+        or on its data centre"""
+        centre = self.topology.upstreams[words[0]]["centre"]
+        times = self.steps.command_times
+        start = max(times.get(words[0], 0), times.get(centre, 0))
 
         def probe():
             arrived = self.system.upstream(words[0])["last_arrival_us"] / 1e6
