Let a new instance be ready while the platform is out

Cause: a new instance that got its configuration from peers stayed not ready in an outage, because no roster could list it (seen in a live run: entry-3 'not in the roster of its data centre yet' 5 s after its start). Change: with the platform unreachable a configuration and any roster of the own data centre are enough; the instance is an entry, never a steward. Also a seed that is given up leaves the members shown. Check: live run, entry-3 ready within 5 s of a start without the platform.

--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -78,6 +78,11 @@
 
 void control_duty::Handle(tick& event) {
   platform_.OnTick(event.now);
+  // Readiness depends on it.
+  if (IsPlatformOut() != platform_out_) {
+    platform_out_ = IsPlatformOut();
+    view_changed_ = true;
+  }
   for (const auto& part : parts_) part->OnTick(event.now);
 }
 
@@ -190,6 +195,10 @@
   }
 }
 
+bool control_duty::IsPlatformOut() const {
+  return platform_.ReachableSince().has_value() && !platform_.IsReachable();
+}
+
 std::string control_duty::ReasonNotReady() const {
   if (draining_) return "shutting down";
   if (view_.config == nullptr) return "no configuration yet";
@@ -203,7 +212,9 @@
     const bool listed = std::any_of(
         each.members.begin(), each.members.end(),
         [this](const roster_member& one) { return one.identity == self_; });
-    if (listed) return "";
+    // With the platform out no roster can change. This instance cannot be a
+    // steward then, but its peers' rosters tell it whom to ask.
+    if (listed || platform_out_) return "";
   }
   return "not in the roster of its data centre yet";
 }
--- a/src/app/control_duty.h
+++ b/src/app/control_duty.h
@@ -59,6 +59,7 @@
   void DescribePlatform(nlohmann::json& status) const;
   bool Accept(const versioned_object& object);
   void NotifyParts();
+  bool IsPlatformOut() const;
   std::string ReasonNotReady() const;
   void PublishIfChanged();
 
@@ -80,6 +81,7 @@
   cluster_view view_;
   bool view_changed_ = true;
   bool draining_ = false;
+  bool platform_out_ = false;
   std::vector<std::unique_ptr<control_part>> parts_;
   spread_part* spread_ = nullptr;  // One of the parts.
 };
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -128,6 +128,7 @@
   const std::string name = known.identity.name;
   asked_.erase(name);
   table_.Erase(name);
+  changed_ = true;
 }
 
 void membership::ForgetDead(monotonic_time now) {
