--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -16,9 +16,6 @@
 constexpr std::size_t kNewsProbes = 2;
 // Peers that hear of this instance's end at once; gossip tells the rest.
 constexpr std::size_t kFarewells = 8;
-// One probe in this many goes to a member believed dead, so that two halves of
-// a healed partition find each other again.
-constexpr std::uint64_t kProbesPerDeadProbe = 5;
 constexpr std::size_t kHintsPerTick = 3;
 constexpr milliseconds kAskAgain{2000};
 // A list of all members corrects what gossip has missed.
@@ -152,13 +149,7 @@
 void membership::ProbeNext(monotonic_time now) {
   next_probe_ += settings_.probe_period;
   if (next_probe_ <= now) next_probe_ = now + settings_.probe_period;
-  ++probes_;
-  const auto dead = table_.NamesIn(member_state::kDeadUnproven);
-  if (!dead.empty() && probes_ % kProbesPerDeadProbe == 0) {
-    const member* known = table_.Find(dead[random_() % dead.size()]);
-    return SendProbe(*known, std::nullopt, now);
-  }
-  const auto target = NextTarget();
+  const auto target = order_.Next(table_, random_);
   if (target.has_value()) SendProbe(*table_.Find(*target), std::nullopt, now);
 }
 
@@ -170,24 +161,6 @@
   }
 }
 
-// Every member once a round, in an order that is new in each: so the time to
-// the next probe of a member is bounded, and no two probers stay in step.
-std::optional<std::string> membership::NextTarget() {
-  for (int round = 0; round < 2; ++round) {
-    while (!order_.empty()) {
-      std::string name = std::move(order_.back());
-      order_.pop_back();
-      const member* known = table_.Find(name);
-      if (known != nullptr && IsLiving(known->state)) return name;
-    }
-    for (const auto& each : table_.All()) {
-      if (IsLiving(each.second.state)) order_.push_back(each.first);
-    }
-    std::shuffle(order_.begin(), order_.end(), random_);
-  }
-  return std::nullopt;
-}
-
 void membership::CompareLists(monotonic_time now) {
   next_comparison_ = now + comparison_wait_.Next(random_);
   ForgetDead(now);
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -12,6 +12,7 @@
 #include "coordination/backoff.h"
 #include "coordination/member_table.h"
 #include "coordination/peer_action.h"
+#include "coordination/probe_order.h"
 #include "coordination/update_queue.h"
 #include "state/events.h"
 
@@ -81,7 +82,6 @@
   void SpreadNews(monotonic_time now);
   void CompareLists(monotonic_time now);
 
-  std::optional<std::string> NextTarget();
   void SendProbe(const member& target, std::optional<relay> owner,
                  monotonic_time now);
   void AskOthers(std::uint64_t sequence, const instance_identity& target);
@@ -106,14 +106,13 @@
   member_table table_;
   update_queue updates_;
   std::map<std::uint64_t, pending_probe> pending_;
-  std::vector<std::string> order_;  // Members left to probe in this round.
+  probe_order order_;
   std::map<std::string, monotonic_time> asked_;  // For their member lists.
   std::vector<peer_action> actions_;
   std::optional<monotonic_time> last_tick_;
   monotonic_time next_probe_;
   monotonic_time next_comparison_;
   std::uint64_t last_sequence_ = 0;
-  std::uint64_t probes_ = 0;
   std::uint64_t versions_ = 0;
   bool news_ = false;  // Something to tell that peers may not know.
   bool changed_ = false;
--- /dev/null
+++ b/src/coordination/probe_order.cc
@@ -0,0 +1,43 @@
+#include "coordination/probe_order.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayaglade {
+
+namespace {
+
+// One probe in this many goes to a member believed dead, so that two halves of
+// a healed partition find each other again.
+constexpr std::uint64_t kProbesPerDeadProbe = 5;
+
+}  // namespace
+
+// Rounds bound the time to the next probe of a member, and new orders keep
+// probers from falling into step.
+std::optional<std::string> probe_order::Next(const member_table& table,
+                                             std::mt19937_64& random) {
+  const auto dead = table.NamesIn(member_state::kDeadUnproven);
+  if (++probes_ % kProbesPerDeadProbe == 0 && !dead.empty()) {
+    return dead[random() % dead.size()];
+  }
+  auto next = NextInRound(table);
+  if (next.has_value()) return next;
+  for (const auto& each : table.All()) {
+    if (IsLiving(each.second.state)) left_.push_back(each.first);
+  }
+  std::shuffle(left_.begin(), left_.end(), random);
+  return NextInRound(table);
+}
+
+std::optional<std::string> probe_order::NextInRound(const member_table& table) {
+  while (!left_.empty()) {
+    std::string name = std::move(left_.back());
+    left_.pop_back();
+    const member* known = table.Find(name);
+    if (known != nullptr && IsLiving(known->state)) return name;
+  }
+  return std::nullopt;
+}
+
+}  // namespace papayaglade
