--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "app/membership_part.h"
+#include "app/order_part.h"
 #include "app/roster_part.h"
 #include "app/view_builder.h"
 #include "app/view_status.h"
@@ -51,6 +52,7 @@
   parts_.push_back(std::move(spread));
   parts_.push_back(std::make_unique<membership_part>(context));
   parts_.push_back(std::make_unique<roster_part>(context));
+  parts_.push_back(std::make_unique<order_part>(context));
 }
 
 control_duty::~control_duty() { Stop(); }
@@ -150,6 +152,10 @@
   return stewards_.TryPush(std::move(event));
 }
 
+bool control_duty::PostToControl(control_duty_event event) {
+  return inbox_.TryPush(std::move(event));
+}
+
 void control_duty::CallPlatform(platform_operation operation,
                                 platform_callback done) {
   platform_.Call(std::move(operation), std::move(done), Now());
--- a/tests/scenarios/runner/steps.py
+++ b/tests/scenarios/runner/steps.py
@@ -4,12 +4,17 @@
 import os
 import signal
 import subprocess
+import tempfile
 import threading
 import time
 
+from . import http
+from .chaos import Chaos
 from .failure import Failure
 
 COMMAND_TIMEOUT_S = 60
+# In force, beaten by another operator, or accepted but not yet everywhere.
+EXITS_OF_A_RACE = {0, 4, 5}
 
 
 class Steps:
@@ -24,7 +29,9 @@
         """Takes a name, or `steward-of UPSTREAM`, off the front."""
         word = words.pop(0)
         if word == "steward-of":
-            return self.system.steward_of(words.pop(0))
+            upstream = words.pop(0)
+            self.command_times[upstream] = time.monotonic()
+            return self.system.steward_of(upstream)
         return word
 
     def targets(self, words):
@@ -63,10 +70,8 @@
     # Operators
 
     def publish(self, words, options):
-        """publish [as LABEL] [refused]: writes the service files."""
-        folder = os.path.join(self.system.folder,
-                              f"services-{len(os.listdir(self.system.folder))}")
-        os.makedirs(folder)
+        """publish [as LABEL]: succeeds when it is in force everywhere"""
+        folder = tempfile.mkdtemp(prefix="services-", dir=self.system.folder)
         for service in self.topology.services:
             value = self.topology.service_file(service, self.system.ports)
             path = os.path.join(folder, f"{service}.papayaglade.json")
@@ -99,11 +104,14 @@
         self.order("in", words, options)
 
     def order(self, what, words, options):
-        at = options.get("at") or sorted(self.system.ready)[0]
+        """out CENTRE [at=INSTANCE]: through that instance, else the platform"""
+        way, purpose = "platform", "platform/operators"
+        if "at" in options:
+            way, purpose = "operators", f"operators/{options['at']}"
         self.command_times[words[0]] = time.monotonic()
-        self.run(words, "data-centre", what, words[0],
-                 "--operators-address", "127.0.0.1", "--operators-port",
-                 str(self.system.port(f"operators/{at}")))
+        self.run(words, "data-centre", f"--{way}-address", "127.0.0.1",
+                 f"--{way}-port", str(self.system.port(purpose)),
+                 what, words[0])
 
     def race(self, words, options):
         """race COMMAND / COMMAND: both at once, labelled first and second."""
@@ -124,6 +132,9 @@
             thread.join()
         if failures:
             raise failures[0]
+        codes = [self.exits["first"], self.exits["second"]]
+        if not set(codes) <= EXITS_OF_A_RACE:
+            raise Failure(f"exits among {sorted(EXITS_OF_A_RACE)}", codes)
 
     # Callers
 
@@ -139,6 +150,16 @@
         for name in words or list(self.callers.loads):
             self.callers.end_load(name)
 
+    def chaos(self, words, options):
+        """chaos SEED rounds=N load=LABEL"""
+        run = Chaos(self, int(words[0]), options["load"])
+        try:
+            run.run(options.get("rounds", 5))
+        finally:
+            path = os.path.join(self.system.folder, "chaos.log")
+            with open(path, "w", encoding="utf-8") as file:
+                file.write("\n".join(run.done) + "\n")
+
     # Platform
 
     def put_snapshots(self, service):
@@ -147,7 +168,6 @@
         summary = self.system.summary("platform")["platform"]
         stored = summary.get("objects", {}).get("snapshots", {}).get(service)
         version = stored["version"] if stored else 0
-        from . import http
         http.call_json(port, "PUT", f"{target}?version={version}",
                        self.topology.snapshot_object(service))
 
--- a/tests/unit/tier_model.cc
+++ b/tests/unit/tier_model.cc
@@ -19,8 +19,12 @@
   service.name = "answers";
   service.workloads.push_back({});
   service.workloads[0].name = "lookup";
-  roster near{"a", 1, {}, {}};
-  roster far{"b", 1, {}, {}};
+  roster near;
+  near.data_centre = "a";
+  near.epoch = 1;
+  roster far;
+  far.data_centre = "b";
+  far.epoch = 1;
   for (int i = 0; i < shards; ++i) {
     const std::string name = "u" + std::to_string(i);
     service.upstreams.push_back({name + "-a", "a", {}, {}});
@@ -104,6 +108,7 @@
 void tier_model::Collect() {
   for (engine_action& each : engine.TakeActions()) {
     if (auto* batch = std::get_if<send_batch>(&each.action)) {
+      ++batches;
       for (const shard_attempt& attempt : batch->batch.attempts) {
         sent.push_back({batch->steward, batch->batch.snapshot, attempt, now});
         if (!upstreams) continue;
