Read answers and write shard requests without a JSON document

Each shard request built one nlohmann document for the request and one for the answer. Ruled out before: queue and pool work, which is small beside it. The answer now goes through the parser's events, the request is written into one string.

--- /dev/null
+++ b/src/protocol/upstream_answer_reader.cc
@@ -0,0 +1,142 @@
+#include "protocol/upstream_answer_reader.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace papayaglade {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kMemberDepth = 1;  // Inside the outer object.
+constexpr int kHitsDepth = 2;    // Inside the array of hits.
+constexpr int kHitDepth = 3;     // Inside one hit.
+constexpr int kHitParts = 3;     // Key, score and text.
+
+// Takes the parser's events as they come: an answer is read for every shard
+// request, and a document of it cost more than all else in the codec.
+class answer_events : public nlohmann::json_sax<json> {
+ public:
+  upstream_reply Take() {
+    const bool whole = snapshot_seen_ && incarnation_seen_ && hits_seen_;
+    if (whole) reply_.verdict = upstream_verdict::kAnswered;
+    return std::move(reply_);
+  }
+
+  bool null() override { return Ignore(); }
+  bool boolean(bool /*value*/) override { return Ignore(); }
+  bool binary(binary_t& /*value*/) override { return Ignore(); }
+
+  bool number_integer(number_integer_t value) override {
+    return Number(static_cast<double>(value));
+  }
+
+  bool number_unsigned(number_unsigned_t value) override {
+    if (depth_ == kMemberDepth && member_ == member::kSnapshot) {
+      reply_.snapshot = value;
+      snapshot_seen_ = true;
+      return true;
+    }
+    return Number(static_cast<double>(value));
+  }
+
+  bool number_float(number_float_t value, const string_t& /*text*/) override {
+    return Number(value);
+  }
+
+  bool string(string_t& value) override {
+    if (depth_ == kMemberDepth && member_ == member::kIncarnation) {
+      reply_.incarnation = std::move(value);
+      incarnation_seen_ = true;
+      return true;
+    }
+    if (!InHit()) return Ignore();
+    if (part_ == 0) {
+      reply_.hits.back().key = std::move(value);
+    } else if (part_ == 2) {
+      reply_.hits.back().text = std::move(value);
+    } else {
+      return false;
+    }
+    ++part_;
+    return true;
+  }
+
+  bool start_object(std::size_t /*elements*/) override {
+    if (depth_ > 0 && InHits()) return false;
+    return ++depth_ > 0;
+  }
+
+  bool key(string_t& value) override {
+    if (depth_ != kMemberDepth) return true;
+    member_ = MemberOf(value);
+    return true;
+  }
+
+  bool end_object() override { return --depth_ >= 0; }
+
+  bool start_array(std::size_t /*elements*/) override {
+    if (depth_ == 0) return false;
+    const bool in_list = InHits() && depth_ == kHitsDepth;
+    if (InHits() && depth_ == kMemberDepth) hits_seen_ = true;
+    if (InHits() && depth_ >= kHitDepth) return false;
+    if (in_list) {
+      reply_.hits.emplace_back();
+      part_ = 0;
+    }
+    return ++depth_ > 0;
+  }
+
+  bool end_array() override {
+    if (InHit() && part_ != kHitParts) return false;
+    return --depth_ >= 0;
+  }
+
+  bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& /*cause*/) override {
+    return false;
+  }
+
+ private:
+  enum class member { kOther, kSnapshot, kIncarnation, kHits };
+
+  static member MemberOf(const std::string& name) {
+    if (name == "snapshot") return member::kSnapshot;
+    if (name == "incarnation") return member::kIncarnation;
+    if (name == "hits") return member::kHits;
+    return member::kOther;
+  }
+
+  bool InHits() const { return member_ == member::kHits; }
+  bool InHit() const { return InHits() && depth_ == kHitDepth; }
+
+  bool Number(double value) {
+    if (!InHit()) return Ignore();
+    if (part_ != 1) return false;
+    reply_.hits.back().score = value;
+    ++part_;
+    return true;
+  }
+
+  // A value of an unknown member may be anything; of a known one it is wrong.
+  bool Ignore() const { return depth_ > 0 && member_ == member::kOther; }
+
+  upstream_reply reply_;
+  member member_ = member::kOther;
+  int depth_ = 0;
+  int part_ = 0;
+  bool snapshot_seen_ = false;
+  bool incarnation_seen_ = false;
+  bool hits_seen_ = false;
+};
+
+}  // namespace
+
+upstream_reply ReadUpstreamAnswer(const std::string& text) {
+  answer_events events;
+  if (!json::sax_parse(text, &events)) return {};
+  return events.Take();
+}
+
+}  // namespace papayaglade
--- a/src/protocol/upstream_codec.cc
+++ b/src/protocol/upstream_codec.cc
@@ -1,7 +1,10 @@
 #include "protocol/upstream_codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "protocol/upstream_answer_reader.h"
+
 namespace papayaglade {
 
 namespace {
@@ -12,17 +15,31 @@
 constexpr int kStatusGone = 410;
 constexpr int kStatusUnavailable = 503;
 
-upstream_reply ParseAnswer(const json& body) {
-  upstream_reply reply;
-  body.at("snapshot").get_to(reply.snapshot);
-  body.at("incarnation").get_to(reply.incarnation);
-  for (const json& each : body.at("hits")) {
-    reply.hits.push_back({each.at(0).get<std::string>(),
-                          each.at(1).get<double>(),
-                          each.at(2).get<std::string>()});
+// Appends `text` as a JSON string. Most text needs no escape.
+void AppendString(std::string& out, const std::string& text) {
+  const auto plain = [](char c) {
+    constexpr char kFirstPrintable = ' ';
+    constexpr char kLastAscii = '~';
+    return c >= kFirstPrintable && c <= kLastAscii && c != '"' && c != '\\';
+  };
+  if (std::all_of(text.begin(), text.end(), plain)) {
+    out += '"';
+    out += text;
+    out += '"';
+    return;
   }
-  reply.verdict = upstream_verdict::kAnswered;
-  return reply;
+  constexpr int kCompact = -1;
+  out += json(text).dump(kCompact, ' ', false, json::error_handler_t::replace);
+}
+
+void AppendMember(std::string& out, const char* name, const std::string& text) {
+  out += name;
+  AppendString(out, text);
+}
+
+void AppendMember(std::string& out, const char* name, std::uint64_t number) {
+  out += name;
+  out += std::to_string(number);
 }
 
 upstream_reply ParseRefusal(const json& body) {
@@ -49,23 +66,33 @@
          std::to_string(attempt_id);
 }
 
+// Written by hand: it runs once a shard request, and building a document for
+// it took more processor time than sending it.
 http_request FormatUpstreamRequest(const upstream_request& request) {
-  json body = {{"attempt", request.attempt},
-               {"request_id", request.request_id},
-               {"query", request.query},
-               {"deadline_us", request.time_left.count()}};
-  if (!request.repeatable) return {"POST", "/run", "", body.dump()};
-  body["shard"] = request.shard;
-  body["snapshot"] = request.snapshot;
-  return {"POST", "/search", "", body.dump()};
+  constexpr std::size_t kFixedText = 128;
+  const auto left = std::max(request.time_left, std::chrono::microseconds(0));
+  http_request message{"POST", request.repeatable ? "/search" : "/run", "", ""};
+  std::string& body = message.body;
+  body.reserve(kFixedText + request.attempt.size() + request.query.size() +
+               request.request_id.size() + request.shard.size());
+  AppendMember(body, "{\"attempt\":", request.attempt);
+  AppendMember(body, ",\"request_id\":", request.request_id);
+  AppendMember(body, ",\"query\":", request.query);
+  AppendMember(body,
+               ",\"deadline_us\":", static_cast<std::uint64_t>(left.count()));
+  if (request.repeatable) {
+    AppendMember(body, ",\"shard\":", request.shard);
+    AppendMember(body, ",\"snapshot\":", request.snapshot);
+  }
+  body += '}';
+  return message;
 }
 
 upstream_reply ParseUpstreamReply(int status, const std::string& body) {
+  if (status == kStatusOk) return ReadUpstreamAnswer(body);
   try {
     const json document = json::parse(body);
     switch (status) {
-      case kStatusOk:
-        return ParseAnswer(document);
       case kStatusGone:
         return ParseGone(document);
       case kStatusUnavailable:
--- a/src/transport/upstream_connection.cc
+++ b/src/transport/upstream_connection.cc
@@ -38,7 +38,10 @@
     : id_(id),
       listener_(listener),
       socket_(io.get_executor()),
-      connect_timer_(io) {}
+      connect_timer_(io) {
+  request_.version(kHttpOneOne);
+  request_.set(http::field::host, "papayaglade");
+}
 
 void upstream_connection::Connect(const endpoint& target,
                                   std::chrono::milliseconds timeout) {
@@ -60,10 +63,12 @@
   if (monotonic_clock::now() > command.not_after) {
     return Fail(connection_failure::kTimedOut, true);
   }
-  request_ = {http::string_to_verb(command.method), command.target,
-              kHttpOneOne};
-  request_.set(http::field::host, "papayaglade");
-  if (!command.body.empty()) {
+  // The message is kept between exchanges, so that only what differs is set.
+  request_.method_string(command.method);
+  request_.target(command.target);
+  if (command.body.empty()) {
+    request_.erase(http::field::content_type);
+  } else {
     request_.set(http::field::content_type, "application/json");
   }
   request_.body() = std::move(command.body);
