--- a/src/app/membership_part.cc
+++ b/src/app/membership_part.cc
@@ -35,7 +35,8 @@
     : context_(context),
       random_(context.Self().incarnation),
       membership_(
-          {context.Self(), context.Settings().peers, member_state::kAlive, 0},
+          {context.Self(), context.Settings().peers, member_state::kAlive, 0,
+           context.Settings().operators},
           context.Settings().data_centre,
           TimesOf(context.Settings().coordination), context.Self().incarnation),
       list_wait_(kFirstListWait, kLongestListWait) {}
--- a/src/app/roster_part.cc
+++ b/src/app/roster_part.cc
@@ -1,84 +1,196 @@
 #include "app/roster_part.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "protocol/configuration_codec.h"
 
 namespace papayaglade {
 
-roster_part::roster_part(control_context& context) : context_(context) {}
+namespace {
+
+stewardship_timing TimingOf(const coordination_settings& settings) {
+  stewardship_timing timing;
+  timing.lease = settings.lease;
+  timing.longest_request = settings.longest_request;
+  return timing;
+}
+
+roster_member SelfOf(const control_context& context) {
+  const instance_settings& settings = context.Settings();
+  return {context.Self(), settings.peers, settings.operators, 0};
+}
+
+}  // namespace
+
+roster_part::roster_part(control_context& context)
+    : context_(context),
+      stewardship_(SelfOf(context), context.Settings().data_centre,
+                   TimingOf(context.Settings().coordination),
+                   context.Self().incarnation) {}
 
 void roster_part::OnTick(monotonic_time now) {
-  const cluster_view& view = context_.View();
-  if (view.config == nullptr || writing_) return;
-  roster own;
-  own.data_centre = context_.Settings().data_centre;
-  for (const roster& each : view.rosters) {
-    if (each.data_centre == own.data_centre) own = each;
+  FlushToStewards();
+  stewardship_.OnTick(now);
+  Act();
+}
+
+void roster_part::OnControlMessage(const instance_identity& from,
+                                   const control_message& message) {
+  stewardship_.OnMessage(from, message, context_.Now());
+  Act();
+}
+
+void roster_part::OnMembersChanged() {
+  stewardship_.SetMembers(context_.Members(), context_.Now());
+  Act();
+}
+
+void roster_part::OnObject(const versioned_object& object) {
+  if (object.key.kind == object_kind::kConfiguration) TakeUpstreams();
+  if (object.key.kind != object_kind::kRoster) return;
+  for (const roster& each : context_.View().rosters) {
+    if (each.data_centre != object.key.name) continue;
+    for (const roster_member& listed : each.members) {
+      if (listed.identity.name == context_.Self().name) continue;
+      context_.Peers().SetAddress(listed.identity, listed.peers);
+    }
+    if (each.data_centre != context_.Settings().data_centre) continue;
+    offered_epoch_ = std::max(offered_epoch_, each.epoch);
+    stewardship_.OnRoster(each, context_.Now());
+  }
+  Act();
+}
+
+void roster_part::TakeUpstreams() {
+  const configuration& config = *context_.View().config;
+  std::vector<assignable_upstream> upstreams;
+  for (const service_definition& service : config.services) {
+    for (const upstream_definition& upstream : service.upstreams) {
+      if (upstream.data_centre != context_.Settings().data_centre) continue;
+      upstreams.push_back({service.name, upstream.name});
+    }
   }
-  const bool listed = std::any_of(own.members.begin(), own.members.end(),
-                                  [this](const roster_member& each) {
-                                    return each.identity == context_.Self();
-                                  });
-  if (listed) SendStanding(own, now);
-  if (listed && own.assignments.size() == OwnUpstreams().size()) return;
-  Write(own, own.epoch);
-}
-
-void roster_part::Write(const roster& base, std::uint64_t version) {
-  roster next = base;
-  const instance_identity& self = context_.Self();
-  next.members.erase(std::remove_if(next.members.begin(), next.members.end(),
-                                    [&self](const roster_member& each) {
-                                      return each.identity.name == self.name;
-                                    }),
-                     next.members.end());
-  const instance_settings& settings = context_.Settings();
-  next.members.push_back({self, settings.peers, settings.operators});
-  next.assignments.clear();
-  const std::vector<std::string> upstreams = OwnUpstreams();
-  for (std::size_t i = 0; i < upstreams.size(); ++i) {
-    const roster_member& steward = next.members[i % next.members.size()];
-    next.assignments.push_back({upstreams[i], steward.identity.name});
+  stewardship_.SetUpstreams(config.version, std::move(upstreams));
+}
+
+void roster_part::OnHandover(const handover_event& event) {
+  stewardship_.OnReleased(event.epoch, event.upstreams, context_.Now());
+  Act();
+}
+
+void roster_part::OnDrain(const std::function<void()>& done) {
+  drained_ = done;
+  stewardship_.Leave(context_.Now());
+  Act();
+}
+
+void roster_part::Act() {
+  for (stewardship_action& action : stewardship_.TakeActions()) {
+    std::visit([this](auto& each) { Perform(each); }, action);
   }
-  next.epoch = version + 1;
-  writing_ = true;
-  const std::string value = FormatRoster(next);
+  OfferNewest();
+}
+
+void roster_part::Perform(send_control& action) {
+  context_.Send(action.peer, std::move(action.message));
+}
+
+void roster_part::Perform(read_roster& /*action*/) {
+  const monotonic_time sent = context_.Now();
+  context_.CallPlatform(platform_get{ObjectKindName(object_kind::kRoster),
+                                     context_.Settings().data_centre},
+                        [this, sent](const platform_reply& reply) {
+                          stewardship_.OnRosterRead(Answer(reply, sent),
+                                                    context_.Now());
+                          Act();
+                        });
+}
+
+void roster_part::Perform(write_roster& action) {
+  const monotonic_time sent = context_.Now();
   context_.CallPlatform(
-      platform_put{"roster", next.data_centre, version, value},
-      [this, next, value](const platform_reply& reply) {
-        writing_ = false;
-        const object_key key{object_kind::kRoster, next.data_centre};
-        if (reply.status == platform_status::kOk) {
-          context_.Offer({key, next.epoch, value});
-        } else if (!reply.objects.empty()) {
-          const platform_object& stored = reply.objects.front();
-          context_.Offer({key, stored.version, stored.value});
-        }
+      platform_put{ObjectKindName(object_kind::kRoster),
+                   context_.Settings().data_centre, action.expected_version,
+                   FormatRoster(action.next)},
+      [this, sent, next = action.next](const platform_reply& reply) {
+        roster_answer answer = Answer(reply, sent);
+        if (answer.status == platform_status::kOk) answer.stored = next;
+        stewardship_.OnRosterWritten(answer, context_.Now());
+        Act();
       });
 }
 
-void roster_part::SendStanding(const roster& own, monotonic_time now) {
-  standing_update standing;
-  standing.roster_epoch = own.epoch;
-  standing.proven_until = now + context_.Settings().coordination.lease;
-  for (const steward_assignment& each : own.assignments) {
-    if (each.steward != context_.Self().name) continue;
-    standing.upstreams.push_back(each.upstream);
+void roster_part::Perform(standing_update& action) {
+  PushToStewards(std::move(action));
+}
+
+// The stewards duty answers on its own thread; its report comes back as an
+// event of the control duty.
+void roster_part::Perform(release_upstreams& action) {
+  handover_request request;
+  request.upstreams = std::move(action.upstreams);
+  request.reply = [this, epoch = action.epoch](std::vector<handover> states) {
+    context_.PostToControl(handover_event{std::move(states), epoch});
+  };
+  PushToStewards(std::move(request));
+}
+
+void roster_part::Perform(handover_event& action) {
+  PushToStewards(std::move(action));
+}
+
+void roster_part::Perform(leave_finished& /*action*/) {
+  if (drained_) std::exchange(drained_, nullptr)();
+}
+
+// The order of events to the stewards duty carries meaning: a release comes
+// before the standing without it.
+void roster_part::PushToStewards(steward_event event) {
+  waiting_.push_back(std::move(event));
+  FlushToStewards();
+}
+
+void roster_part::FlushToStewards() {
+  while (!waiting_.empty() && context_.SendToStewards(waiting_.front())) {
+    waiting_.pop_front();
   }
-  context_.SendToStewards(standing);
 }
 
-std::vector<std::string> roster_part::OwnUpstreams() const {
-  std::vector<std::string> upstreams;
-  for (const service_definition& service : context_.View().config->services) {
-    for (const upstream_definition& upstream : service.upstreams) {
-      if (upstream.data_centre != context_.Settings().data_centre) continue;
-      upstreams.push_back(upstream.name);
-    }
+roster_answer roster_part::Answer(const platform_reply& reply,
+                                  monotonic_time sent) const {
+  roster_answer answer;
+  answer.status = reply.status;
+  answer.sent = sent;
+  if (reply.objects.empty()) return answer;
+  const platform_object& object = reply.objects.front();
+  answer.version = object.version;
+  if (!object.value.empty()) {
+    answer.stored = ParseRoster(context_.Settings().data_centre, object.value);
   }
-  return upstreams;
+  return answer;
+}
+
+void roster_part::OfferNewest() {
+  const roster& newest = stewardship_.Newest();
+  if (newest.epoch <= offered_epoch_) return;
+  offered_epoch_ = newest.epoch;
+  context_.Offer({{object_kind::kRoster, newest.data_centre},
+                  newest.epoch,
+                  FormatRoster(newest)});
+}
+
+void roster_part::Describe(nlohmann::json& status) const {
+  const standing_update& standing = stewardship_.Standing();
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      standing.proven_until - context_.Now());
+  status["stewardship"] = {
+      {"roster_epoch", standing.roster_epoch},
+      {"proven", left.count() > 0},
+      {"lease_left_ms", std::max<std::int64_t>(0, left.count())},
+      {"steward_of", standing.upstreams},
+      {"fenced", standing.fenced}};
 }
 
 }  // namespace papayaglade
--- a/src/coordination/member_table.cc
+++ b/src/coordination/member_table.cc
@@ -41,8 +41,9 @@
 bool member_table::Apply(const member_update& update, monotonic_time now) {
   const auto found = members_.find(update.identity.name);
   if (found != members_.end() && !IsNewer(update, found->second)) return false;
-  members_[update.identity.name] = {update.identity, update.peers, update.state,
-                                    update.refutation, now};
+  members_[update.identity.name] = {
+      update.identity,   update.peers, update.state,
+      update.refutation, now,          update.operators};
   return true;
 }
 
@@ -87,7 +88,8 @@
 }
 
 member_update UpdateOf(const member& known) {
-  return {known.identity, known.peers, known.state, known.refutation};
+  return {known.identity, known.peers, known.state, known.refutation,
+          known.operators};
 }
 
 bool IsLiving(member_state state) {
