Split the dispatcher into gate, exchanges, resets, health and results

Cancellations now come as one ordered list, so that a cancelled query scans each queue once and not once a shard. An upstream that moved gets nothing on its old connections, and one under little load counts as warm after 30 s without a sign.

--- a/src/app/steward_duty.cc
+++ b/src/app/steward_duty.cc
@@ -126,13 +126,16 @@
 }
 
 void steward_duty::Handle(cancel_event& event) {
+  std::vector<attempt_key> keys;
+  keys.reserve(event.cancel.attempt_ids.size());
   for (const std::uint64_t attempt_id : event.cancel.attempt_ids) {
-    const attempt_key key{event.cancel.origin.incarnation, attempt_id};
-    for (const auto& each : served_) {
-      if (each->dispatcher.Cancel(key)) break;
-    }
+    keys.push_back({event.cancel.origin.incarnation, attempt_id});
+  }
+  std::sort(keys.begin(), keys.end());
+  for (const auto& each : served_) {
+    each->dispatcher.Cancel(keys);
+    each->dispatcher.Pump();
   }
-  for (const auto& each : served_) each->dispatcher.Pump();
 }
 
 void steward_duty::Handle(connection_opened& event) {
@@ -151,13 +154,13 @@
   const auto kind = owner->KindOf(event.exchange_id);
   if (!kind.has_value()) return;
   switch (*kind) {
-    case upstream_dispatcher::exchange_kind::kWork:
+    case exchange_kind::kWork:
       return owner->OnWorkReply(event,
                                 ParseUpstreamReply(event.status, event.body));
-    case upstream_dispatcher::exchange_kind::kHealth:
+    case exchange_kind::kHealth:
       return owner->OnHealthReply(event,
                                   ParseHealthReply(event.status, event.body));
-    case upstream_dispatcher::exchange_kind::kCancel:
+    case exchange_kind::kCancel:
       break;
   }
   const auto names = ParseUpstreamCancelReply(event.status, event.body);
--- a/src/coordination/class_queue.cc
+++ b/src/coordination/class_queue.cc
@@ -37,11 +37,12 @@
   return TakeNext(classes_[Choose(now)]);
 }
 
-std::optional<queued_attempt> class_queue::Remove(const attempt_key& key) {
-  std::vector<queued_attempt> found =
-      TakeIf([&](const queued_attempt& each) { return each.Key() == key; });
-  if (found.empty()) return std::nullopt;
-  return std::move(found.front());
+std::vector<queued_attempt> class_queue::Remove(
+    const std::vector<attempt_key>& keys) {
+  if (size_ == 0) return {};
+  return TakeIf([&](const queued_attempt& each) {
+    return std::binary_search(keys.begin(), keys.end(), each.Key());
+  });
 }
 
 std::vector<queued_attempt> class_queue::TakeDue(monotonic_time limit) {
--- a/src/coordination/class_queue.h
+++ b/src/coordination/class_queue.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 #include "state/shard_messages.h"
@@ -26,6 +27,11 @@
          a.origin_incarnation == b.origin_incarnation;
 }
 
+inline bool operator<(const attempt_key& a, const attempt_key& b) {
+  return std::tie(a.origin_incarnation, a.attempt_id) <
+         std::tie(b.origin_incarnation, b.attempt_id);
+}
+
 /// One attempt of a batch on its way through the steward.
 struct queued_attempt {
   std::shared_ptr<const shard_batch> batch;
@@ -61,7 +67,8 @@
 
   std::optional<queued_attempt> Pop(monotonic_time now);
 
-  std::optional<queued_attempt> Remove(const attempt_key& key);
+  /// Takes out the attempts whose keys are in `keys`, which are in order.
+  std::vector<queued_attempt> Remove(const std::vector<attempt_key>& keys);
 
   /// Takes out every attempt whose deadline is `limit` or earlier.
   std::vector<queued_attempt> TakeDue(monotonic_time limit);
--- a/src/coordination/upstream_dispatcher.h
+++ b/src/coordination/upstream_dispatcher.h
@@ -6,8 +6,12 @@
 #include <string>
 #include <vector>
 
+#include "coordination/admission_gate.h"
 #include "coordination/class_queue.h"
 #include "coordination/connection_pool.h"
+#include "coordination/exchange_table.h"
+#include "coordination/health_schedule.h"
+#include "coordination/reset_watch.h"
 #include "coordination/steward_standing.h"
 #include "coordination/upstream_control.h"
 #include "state/configuration.h"
@@ -54,8 +58,6 @@
 /// One upstream at its steward: admits, sends, counts and finishes work.
 class upstream_dispatcher {
  public:
-  enum class exchange_kind { kWork, kCancel, kHealth };
-
   /// What operators see of one upstream.
   struct summary {
     steward_phase phase = steward_phase::kUnknown;
@@ -76,8 +78,8 @@
                       std::uint64_t seed);
 
   void Enqueue(queued_attempt attempt);
-  /// Withdraws an attempt wherever it is; false when it is not here.
-  bool Cancel(const attempt_key& key);
+  /// Withdraws the attempts of `keys`, which are in order, that are here.
+  void Cancel(const std::vector<attempt_key>& keys);
 
   void OnOpened(std::uint64_t connection_id);
   void OnFailed(const connection_failed& event);
@@ -115,69 +117,42 @@
   }
 
  private:
-  struct exchange {
-    std::uint64_t id = 0;
-    std::uint64_t connection_id = 0;
-    exchange_kind kind = exchange_kind::kWork;
-    queued_attempt work;                    ///< With kWork.
-    std::vector<queued_attempt> cancelled;  ///< With kCancel.
-    monotonic_time sent;
-    monotonic_time due;     ///< A reply later than this is late.
-    bool reported = false;  ///< Its end was reported to the entry instance.
-    bool ended = false;     ///< The upstream acknowledged its cancellation.
-  };
-
-  std::optional<shard_reason> Blocked(monotonic_time now) const;
-  std::optional<shard_reason> BlockedByPhase() const;
   void SendNext(const connection_pool::connection& connection,
                 queued_attempt attempt, monotonic_time now);
   bool CanMeetDeadline(const queued_attempt& attempt, monotonic_time now) const;
   std::chrono::microseconds ExpectedTime() const;
   void RefuseAll(shard_reason reason);
   void Refuse(const queued_attempt& attempt, shard_reason reason);
-  void ReportLost(exchange& lost, shard_reason reason);
-  void FinishWork(const exchange& done, upstream_reply reply,
-                  std::chrono::microseconds took);
-  void OnWorkBroken(exchange lost, const connection_failed& event);
+  void ReportLost(upstream_exchange& lost, shard_reason reason);
+  void OnWorkBroken(upstream_exchange lost, const connection_failed& event);
   void OnConnectionLost(const connection_failed& event, bool opening,
                         monotonic_time now);
-  bool WantsConnections() const;
   void MaintainPool(monotonic_time now);
   void CloseIdle();
   void DropConnection(std::uint64_t connection_id);
-  void Finished(const exchange_reply& event, const exchange& done,
+  void Finished(const exchange_reply& event, const upstream_exchange& done,
                 monotonic_time now);
-  void NoteCloseSign(monotonic_time now);
   void NoteReset(bool busy, monotonic_time now);
   void CheckOverdue(monotonic_time now);
-  void OnOverdueWork(exchange& late, monotonic_time now);
-  void OnOverdueCheck(const exchange& late, monotonic_time now);
+  void OnOverdueWork(upstream_exchange& late, monotonic_time now);
+  void OnOverdueCheck(const upstream_exchange& late, monotonic_time now);
   void DropEndedCancels(monotonic_time now);
   void SendCancels();
   void PollHealth(monotonic_time now);
-  exchange* Find(std::uint64_t exchange_id);
-  exchange* FindOn(std::uint64_t connection_id);
-  exchange Take(std::uint64_t exchange_id);
 
   upstream_definition definition_;
   upstream_dispatcher_settings settings_;
   const steward_standing& standing_;
   dispatch_port& port_;
+  admission_gate gate_;
   upstream_control control_;
   class_queue queue_;
   connection_pool pool_;
-  std::vector<exchange> exchanges_;  // As many as busy connections.
+  exchange_table exchanges_;
   std::vector<queued_attempt> cancels_;
-  bool held_ = false;
-  bool out_ = false;
-  std::optional<std::uint64_t> released_at_epoch_;
-  monotonic_time last_reply_{};
-  monotonic_time health_due_{};
-  std::chrono::milliseconds probe_wait_;
-  int unanswered_checks_ = 0;
-  monotonic_time last_reset_{};
-  int resets_ = 0;
-  monotonic_time last_close_sign_{};
+  std::uint64_t first_current_id_ = 0;  // Older connections go elsewhere.
+  health_schedule health_;
+  reset_watch resets_;
 };
 
 }  // namespace papayaglade
--- a/tests/unit/class_queue_test.cc
+++ b/tests/unit/class_queue_test.cc
@@ -82,8 +82,8 @@
   class_queue queue({});
   queue.Push(Make(request_class::kFull, 1, 5));
   queue.Push(Make(request_class::kFull, 1, 6, kStart + milliseconds(10)));
-  CHECK_FALSE(queue.Remove({1, 5}).has_value());
-  CHECK(queue.Remove({0, 5}).has_value());
+  CHECK(queue.Remove({{1, 5}}).empty());
+  CHECK(queue.Remove({{0, 4}, {0, 5}}).size() == 1);
   CHECK(queue.TakeDue(kStart + milliseconds(9)).empty());
   CHECK(queue.TakeDue(kStart + milliseconds(10)).size() == 1);
   CHECK(queue.Empty());
--- a/tests/unit/model_upstream.cc
+++ b/tests/unit/model_upstream.cc
@@ -94,7 +94,7 @@
   });
   if (random_() % 20 != 0) return;
   At(now_ + milliseconds(5), [this, key = attempt.Key()] {
-    ToSteward([this, key] { dispatcher.Cancel(key); });
+    ToSteward([this, key] { dispatcher.Cancel({key}); });
   });
 }
 
--- a/tests/unit/upstream_dispatcher_test.cc
+++ b/tests/unit/upstream_dispatcher_test.cc
@@ -141,6 +141,34 @@
   CHECK(model.sent == after);
 }
 
+TEST_CASE("little load makes an upstream warm without a higher limit",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  for (int i = 0; i < 700; ++i) {
+    model.Ask(milliseconds(60));
+    model.Run(milliseconds(50));
+  }
+  CHECK(model.dispatcher.Summary().phase == steward_phase::kWarm);
+  CHECK(model.dispatcher.Summary().limit == 2);
+  model.Prove(milliseconds(0));
+  const std::uint64_t before = model.sent;
+  model.Ask(milliseconds(60));
+  model.Run(milliseconds(50));
+  CHECK(model.sent == before + 1);
+}
+
+TEST_CASE("an upstream that moved gets nothing on its old connections",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.dispatcher.SetDefinition({"u", "kigali", {"127.0.0.1", 2}, kLimits});
+  CHECK(model.dispatcher.Summary().limit == 1);
+  model.Run(milliseconds(2));
+  const std::uint64_t before = model.sent;
+  model.Ask(milliseconds(60));
+  CHECK(model.sent == before);
+}
+
 TEST_CASE("a silent connection is retired and counts against the limit",
           "[upstream]") {
   model_upstream model(kLimits, kSeed);
