--- a/src/coordination/query_account.cc
+++ b/src/coordination/query_account.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace papayaglade {
 
@@ -39,19 +40,22 @@
           "try again when the index pipeline has published a snapshot"};
 }
 
-error ShortfallError(const account& details, double minimum,
-                     bool may_have_run) {
+caller_outcome ShortfallOutcome(account details, double minimum,
+                                bool may_have_run) {
   const std::string message =
       "covered " + PercentText(details.coverage) + " of the shards, needs " +
       PercentText(minimum) +
       "; most of the rest: " + ShardReasonName(CommonestReason(details));
   if (may_have_run) {
-    return {error_kind::kBelowCoverage, "/minimum_coverage", message,
-            "ask again, allow more deadline_ms, or accept a lower "
-            "minimum_coverage"};
+    return below_coverage{
+        {error_kind::kBelowCoverage, "/minimum_coverage", message,
+         "ask again, allow more deadline_ms, or accept a lower "
+         "minimum_coverage"},
+        std::move(details)};
   }
-  return {error_kind::kUnavailable, "", message,
-          "nothing ran: try again, or ask another instance"};
+  return not_run{{error_kind::kUnavailable, "", message,
+                  "nothing ran: try again, or ask another instance"},
+                 std::move(details)};
 }
 
 }  // namespace papayaglade
--- a/src/coordination/query_account.h
+++ b/src/coordination/query_account.h
@@ -22,8 +22,10 @@
 /// The service of a query has no snapshot to search.
 error NoSnapshotError();
 
-/// Fewer shards answered than the query demands; names the commonest reason.
-error ShortfallError(const account& details, double minimum, bool may_have_run);
+/// The outcome of a query of which fewer shards answered than it demands; the
+/// error names the commonest reason.
+caller_outcome ShortfallOutcome(account details, double minimum,
+                                bool may_have_run);
 
 }  // namespace papayaglade
 
--- a/src/coordination/query_run.cc
+++ b/src/coordination/query_run.cc
@@ -18,29 +18,11 @@
 constexpr double kTypicalShare = 0.5;
 constexpr microseconds kLeastHedgePause{1000};
 constexpr int kHedgePauseDivisor = 4;
-constexpr std::chrono::milliseconds kAvoidBusy{100};
-constexpr std::chrono::milliseconds kAvoidGone{1000};
 
 microseconds Between(monotonic_time start, monotonic_time end) {
   return std::chrono::duration_cast<microseconds>(end - start);
 }
 
-std::chrono::milliseconds AvoidanceFor(shard_reason reason) {
-  switch (reason) {
-    case shard_reason::kLeaving:
-    case shard_reason::kDataCentreOut:
-    case shard_reason::kUpstreamDown:
-    case shard_reason::kStandingUnproven:
-      return kAvoidGone;
-    case shard_reason::kCold:
-    case shard_reason::kQueueFull:
-    case shard_reason::kUpstreamRefused:
-      return kAvoidBusy;
-    default:
-      return std::chrono::milliseconds(0);
-  }
-}
-
 }  // namespace
 
 query_run::query_run(query_spec spec, query_context& context,
@@ -112,7 +94,7 @@
 void query_run::OnRoutes(monotonic_time now) {
   if (settled_) return;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
-    shard_state& shard = shards_[i];
+    shard_progress& shard = shards_[i];
     if (shard.phase != shard_phase::kWaiting) continue;
     if (!LastStewardChanged(shard)) continue;
     shard.tried.pop_back();
@@ -144,7 +126,7 @@
 }
 
 std::size_t query_run::Begin(monotonic_time now) {
-  shards_.assign(pinned_->shards.size(), shard_state());
+  shards_.assign(pinned_->shards.size(), shard_progress());
   hits_.clear();
   answered_ = 0;
   unfinished_ = shards_.size();
@@ -180,7 +162,7 @@
   const std::uint64_t id = (spec_.number << kAttemptBits) |
                            static_cast<std::uint64_t>(attempts_.size());
   const std::uint32_t steward = context_.routes->RouteOf(upstream).steward;
-  shard_state& state = shards_[shard];
+  shard_progress& state = shards_[shard];
   if (state.attempts == 0) state.first_sent = now;
   state.tried.push_back(upstream);
   state.last_attempt = attempts_.size();
@@ -235,7 +217,7 @@
 
 void query_run::OnAnswer(const attempt& ended, shard_result& result,
                          monotonic_time now) {
-  shard_state& shard = shards_[ended.shard];
+  shard_progress& shard = shards_[ended.shard];
   if (shard.outstanding > 0) WithdrawShard(ended.shard, now);
   learnt_.times.Learn(Between(ended.sent, now));
   context_.snapshots.LearnHeld(ended.upstream, result.snapshot);
@@ -249,8 +231,8 @@
 
 void query_run::OnRefusal(const attempt& ended, shard_reason reason,
                           monotonic_time now) {
-  context_.replicas.Avoid(ended.upstream, now + AvoidanceFor(reason));
-  shard_state& shard = shards_[ended.shard];
+  context_.replicas.Refused(ended.upstream, reason, now);
+  shard_progress& shard = shards_[ended.shard];
   if (shard.outstanding > 0) return;
   const bool moved =
       reason == shard_reason::kNotSteward && LastStewardChanged(shard);
@@ -270,7 +252,7 @@
 
 void query_run::OnLoss(const attempt& ended, shard_reason reason,
                        monotonic_time now) {
-  shard_state& shard = shards_[ended.shard];
+  shard_progress& shard = shards_[ended.shard];
   shard.may_have_run = true;
   if (shard.outstanding > 0) return;
   if (AskAgain(ended.shard, learnt_.extra_load, now)) return;
@@ -287,7 +269,7 @@
   Close(ended.shard, shard_outcome::kRefused, shard_reason::kSnapshotGone, now);
 }
 
-bool query_run::LastStewardChanged(const shard_state& shard) const {
+bool query_run::LastStewardChanged(const shard_progress& shard) const {
   if (shard.tried.empty()) return false;
   const std::uint32_t now =
       context_.routes->RouteOf(shard.tried.back()).steward;
@@ -297,7 +279,7 @@
 
 void query_run::Close(std::size_t shard, shard_outcome outcome,
                       shard_reason reason, monotonic_time now) {
-  shard_state& state = shards_[shard];
+  shard_progress& state = shards_[shard];
   state.phase = shard_phase::kFailed;
   state.outcome = outcome;
   state.reason = reason;
@@ -324,7 +306,7 @@
     next_hedge_ = std::min(next_hedge_.value_or(due), due);
   };
   for (std::size_t i = 0; i < shards_.size(); ++i) {
-    shard_state& shard = shards_[i];
+    shard_progress& shard = shards_[i];
     const bool may_hedge = shard.phase == shard_phase::kOpen &&
                            shard.hedges < kMostHedgesPerShard &&
                            shard.attempts < kMostAttemptsPerShard;
@@ -356,13 +338,9 @@
   const workload_route newest =
       context_.routes->FindWorkload(spec_.request.workload);
   if (newest.plan == nullptr) return false;
-  const auto plan =
-      context_.snapshots.Choose(*newest.plan, rule_.Minimum(), now);
-  if (plan == nullptr || plan->snapshot == pinned_->snapshot) return false;
-  if (context_.snapshots.ServedShare(*plan, now) <=
-      context_.snapshots.ServedShare(*pinned_, now)) {
-    return false;
-  }
+  const auto plan = context_.snapshots.ChooseBetter(*newest.plan, *pinned_,
+                                                    rule_.Minimum(), now);
+  if (plan == nullptr) return false;
   const microseconds typical =
       learnt_.times.Percentile(kTypicalShare).value_or(Between(began_, now));
   if (now + typical >= rule_.AnswerBy()) return false;
@@ -385,7 +363,7 @@
 void query_run::Settle(monotonic_time now) {
   bool may_have_run = answered_ > 0;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
-    shard_state& shard = shards_[i];
+    shard_progress& shard = shards_[i];
     may_have_run |= shard.may_have_run || shard.outstanding > 0;
     if (shard.phase == shard_phase::kOpen) {
       Close(i, shard_outcome::kLate,
@@ -404,12 +382,8 @@
                         std::move(details)};
     return;
   }
-  error cause = ShortfallError(details, rule_.Minimum(), may_have_run);
-  if (may_have_run) {
-    outcome_ = below_coverage{std::move(cause), std::move(details)};
-  } else {
-    outcome_ = not_run{std::move(cause), std::move(details)};
-  }
+  outcome_ =
+      ShortfallOutcome(std::move(details), rule_.Minimum(), may_have_run);
 }
 
 account query_run::MakeAccount() const {
@@ -424,25 +398,17 @@
   details.coverage = ShareOf(answered_, shards_.size());
   details.shards.reserve(shards_.size());
   for (std::size_t i = 0; i < shards_.size(); ++i) {
-    details.shards.push_back(AccountOf(i));
+    const shard_progress& shard = shards_[i];
+    const bool asked = shard.attempts > 0;
+    const std::uint32_t last = shard.phase == shard_phase::kAnswered
+                                   ? shard.answered_by
+                               : asked ? attempts_[shard.last_attempt].upstream
+                                       : 0;
+    details.shards.push_back(
+        AccountLine(pinned_->shards[i].shard, shard,
+                    asked ? context_.upstreams.NameOf(last) : std::string()));
   }
   return details;
 }
 
-shard_account query_run::AccountOf(std::size_t index) const {
-  const shard_state& shard = shards_[index];
-  shard_account line;
-  line.shard = pinned_->shards[index].shard;
-  line.attempts = shard.attempts;
-  line.reason = shard.reason;
-  line.outcome = shard.outcome;
-  if (shard.attempts == 0) return line;
-  line.time = Between(shard.first_sent, shard.ended);
-  const bool covered = shard.phase == shard_phase::kAnswered;
-  if (covered) line.outcome = shard_outcome::kAnswered;
-  line.upstream = context_.upstreams.NameOf(
-      covered ? shard.answered_by : attempts_[shard.last_attempt].upstream);
-  return line;
-}
-
 }  // namespace papayaglade
--- a/src/coordination/query_run.h
+++ b/src/coordination/query_run.h
@@ -15,6 +15,7 @@
 #include "coordination/query_spec.h"
 #include "coordination/replica_choice.h"
 #include "coordination/settle_rule.h"
+#include "coordination/shard_progress.h"
 
 namespace papayaglade {
 
@@ -40,8 +41,6 @@
   const attempt_counts& Counts() const { return counts_; }
 
  private:
-  enum class shard_phase { kOpen, kWaiting, kAnswered, kFailed };
-
   struct attempt {
     std::uint32_t shard = 0;
     std::uint32_t upstream = 0;
@@ -49,20 +48,6 @@
     monotonic_time sent;
     bool open = true;
   };
-  struct shard_state {
-    shard_phase phase = shard_phase::kOpen;
-    shard_outcome outcome = shard_outcome::kNotAsked;
-    shard_reason reason = shard_reason::kNone;
-    std::vector<std::uint32_t> tried;  ///< Upstreams, the last asked last.
-    int attempts = 0;
-    int outstanding = 0;
-    int hedges = 0;
-    bool may_have_run = false;
-    std::uint32_t answered_by = 0;
-    std::size_t last_attempt = 0;
-    monotonic_time first_sent;
-    monotonic_time ended;
-  };
 
   /// Asks every shard of the pinned snapshot; returns how many were asked.
   std::size_t Begin(monotonic_time now);
@@ -80,7 +65,7 @@
   void OnLoss(const attempt& ended, shard_reason reason, monotonic_time now);
   void OnMissingSnapshot(const attempt& ended, const shard_result& result,
                          monotonic_time now);
-  bool LastStewardChanged(const shard_state& shard) const;
+  bool LastStewardChanged(const shard_progress& shard) const;
   void Close(std::size_t shard, shard_outcome outcome, shard_reason reason,
              monotonic_time now);
 
@@ -89,7 +74,6 @@
   void Judge(monotonic_time now);
   void Settle(monotonic_time now);
   account MakeAccount() const;
-  shard_account AccountOf(std::size_t index) const;
 
   query_spec spec_;
   query_context& context_;
@@ -98,7 +82,7 @@
   std::shared_ptr<const snapshot_plan> pinned_;
   std::vector<attempt> attempts_;
   std::size_t first_of_pinned_ = 0;  ///< Older attempts are of older pins.
-  std::vector<shard_state> shards_;
+  std::vector<shard_progress> shards_;
   std::vector<hit> hits_;
   outbox outbox_;
   std::size_t answered_ = 0;
--- a/src/coordination/replica_tracker.cc
+++ b/src/coordination/replica_tracker.cc
@@ -5,6 +5,24 @@
 namespace {
 
 constexpr double kNewSampleShare = 0.1;
+constexpr std::chrono::milliseconds kAvoidBusy{100};
+constexpr std::chrono::milliseconds kAvoidGone{1000};
+
+std::chrono::milliseconds AvoidanceFor(shard_reason reason) {
+  switch (reason) {
+    case shard_reason::kLeaving:
+    case shard_reason::kDataCentreOut:
+    case shard_reason::kUpstreamDown:
+    case shard_reason::kStandingUnproven:
+      return kAvoidGone;
+    case shard_reason::kCold:
+    case shard_reason::kQueueFull:
+    case shard_reason::kUpstreamRefused:
+      return kAvoidBusy;
+    default:
+      return std::chrono::milliseconds(0);
+  }
+}
 
 }  // namespace
 
@@ -27,8 +45,9 @@
             : state.time_us + kNewSampleShare * (sample - state.time_us);
 }
 
-void replica_tracker::Avoid(std::uint32_t upstream, monotonic_time until) {
-  Slot(upstream).avoid_until = until;
+void replica_tracker::Refused(std::uint32_t upstream, shard_reason reason,
+                              monotonic_time now) {
+  Slot(upstream).avoid_until = now + AvoidanceFor(reason);
 }
 
 bool replica_tracker::IsAvoided(std::uint32_t upstream,
--- a/src/coordination/replica_tracker.h
+++ b/src/coordination/replica_tracker.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "state/shard_messages.h"
 #include "state/time.h"
 
 namespace papayaglade {
@@ -18,8 +19,8 @@
   void Ended(std::uint32_t upstream);
   void Answered(std::uint32_t upstream, std::chrono::microseconds time);
 
-  /// Prefers other replicas until `until`.
-  void Avoid(std::uint32_t upstream, monotonic_time until);
+  /// Prefers other replicas for as long as `reason` makes likely.
+  void Refused(std::uint32_t upstream, shard_reason reason, monotonic_time now);
   bool IsAvoided(std::uint32_t upstream, monotonic_time now) const;
 
   void SetStewardDown(std::uint32_t steward, monotonic_time until);
--- a/src/coordination/snapshot_choice.cc
+++ b/src/coordination/snapshot_choice.cc
@@ -83,4 +83,13 @@
   return best;
 }
 
+std::shared_ptr<const snapshot_plan> snapshot_choice::ChooseBetter(
+    const service_plan& service, const snapshot_plan& pinned, double minimum,
+    monotonic_time now) const {
+  auto plan = Choose(service, minimum, now);
+  if (plan == nullptr || plan->snapshot == pinned.snapshot) return nullptr;
+  const bool better = ServedShare(*plan, now) > ServedShare(pinned, now);
+  return better ? plan : nullptr;
+}
+
 }  // namespace papayaglade
--- a/src/coordination/snapshot_choice.h
+++ b/src/coordination/snapshot_choice.h
@@ -32,6 +32,12 @@
                                               double minimum,
                                               monotonic_time now) const;
 
+  /// What Choose returns now, if more shards serve it than `pinned`; else null.
+  std::shared_ptr<const snapshot_plan> ChooseBetter(const service_plan& service,
+                                                    const snapshot_plan& pinned,
+                                                    double minimum,
+                                                    monotonic_time now) const;
+
  private:
   struct missing_snapshot {
     std::uint64_t snapshot = 0;
--- a/tests/unit/hedging_test.cc
+++ b/tests/unit/hedging_test.cc
@@ -16,6 +16,7 @@
   microseconds p99{0};
   double extra_load = 0;
   double coverage = 0;
+  microseconds delay{0};
 };
 
 // One in a hundred replies takes 20 times as long; everything else is equal.
@@ -43,6 +44,8 @@
     report.coverage +=
         std::get<answered>(tier.outcomes.at(query)).details.coverage;
   }
+  report.delay =
+      tier.engine.Workloads().at(0).hedge_delay.value_or(microseconds(0));
   report.coverage /= static_cast<double>(times.size());
   std::sort(times.begin(), times.end());
   report.p99 = times[times.size() * 99 / 100];
@@ -90,6 +93,10 @@
   CHECK(hedged.coverage == 1.0);
 }
 
+TEST_CASE("attempts cut short by hedges still count as slow") {
+  CHECK(RunStragglers(true, 0.995, 40).delay > 10ms);
+}
+
 TEST_CASE("figures of hedging by percentile", "[.figures]") {
   for (const int shards : {40, 360}) {
     const hedging_report plain = RunStragglers(false, 0.99, shards);
