--- a/src/app/steward_duty.cc
+++ b/src/app/steward_duty.cc
@@ -20,6 +20,14 @@
   return std::hash<std::string>()(batch.caller) ^ batch.origin.incarnation;
 }
 
+std::chrono::milliseconds LongestDeadline(const service_definition& service) {
+  std::chrono::milliseconds longest{0};
+  for (const workload& each : service.workloads) {
+    longest = std::max(longest, each.deadline);
+  }
+  return longest;
+}
+
 }  // namespace
 
 steward_duty::served_upstream::served_upstream(
@@ -84,8 +92,10 @@
   const cluster_view& view = *event.view;
   if (view.config == nullptr) return;
   for (const service_definition& service : view.config->services) {
+    const auto longest = LongestDeadline(service);
     for (const upstream_definition& upstream : service.upstreams) {
-      if (upstream.data_centre == settings_.data_centre) Serve(upstream);
+      const bool near = upstream.data_centre == settings_.data_centre;
+      if (near) Serve(upstream, longest);
     }
   }
   const bool out = std::any_of(view.orders.begin(), view.orders.end(),
@@ -210,12 +220,17 @@
   drains_.push_back(std::move(event.done));
 }
 
-void steward_duty::Serve(const upstream_definition& definition) {
+void steward_duty::Serve(const upstream_definition& definition,
+                         std::chrono::milliseconds longest_request) {
   upstream_dispatcher* const known = FindByName(definition.name);
-  if (known != nullptr) return known->SetDefinition(definition);
+  if (known != nullptr) {
+    known->SetLongestRequest(longest_request);
+    return known->SetDefinition(definition);
+  }
   number_of_[definition.name] = served_.size();
   served_.push_back(
       std::make_unique<served_upstream>(definition, served_.size(), *this));
+  served_.back()->dispatcher.SetLongestRequest(longest_request);
   served_.back()->dispatcher.OnStandingChanged();
 }
 
--- a/src/app/steward_duty.h
+++ b/src/app/steward_duty.h
@@ -59,7 +59,8 @@
   void Handle(status_query& event);
   void Handle(drain_event& event);
 
-  void Serve(const upstream_definition& definition);
+  void Serve(const upstream_definition& definition,
+             std::chrono::milliseconds longest_request);
   upstream_dispatcher* FindByName(const std::string& upstream);
   upstream_dispatcher* FindById(std::uint64_t id);
   upstream_report Report(const upstream_dispatcher& dispatcher) const;
--- a/src/coordination/admission_gate.cc
+++ b/src/coordination/admission_gate.cc
@@ -25,14 +25,22 @@
                                const steward_standing& standing)
     : upstream_(std::move(upstream)), standing_(standing) {}
 
-bool admission_gate::OnStandingChanged() {
+bool admission_gate::OnStandingChanged(monotonic_time now) {
   const bool newer = released_at_epoch_.has_value() &&
                      standing_.RosterEpoch() > *released_at_epoch_;
   if (newer) released_at_epoch_.reset();
   const bool before = std::exchange(held_, standing_.Holds(upstream_));
+  // A steward that is gone sends nothing more, but what it sent may still run.
+  if (!before && held_ && !handed_over_) settled_at_ = now + longest_;
+  if (before && !held_) handed_over_ = false;
   return before && !held_;
 }
 
+void admission_gate::OnHandedOver() {
+  handed_over_ = true;
+  settled_at_ = {};
+}
+
 void admission_gate::Release() { released_at_epoch_ = standing_.RosterEpoch(); }
 
 bool admission_gate::Serving() const {
@@ -44,7 +52,8 @@
   if (out_) return shard_reason::kDataCentreOut;
   if (!Serving()) return shard_reason::kNotSteward;
   if (const auto reason = ReasonOfPhase(phase)) return reason;
-  if (standing_.Fenced(upstream_, now)) return shard_reason::kStandingUnproven;
+  const bool fenced = standing_.Fenced(upstream_, now) || now < settled_at_;
+  if (fenced) return shard_reason::kStandingUnproven;
   // Two senders to a warm upstream meet its shedding; two senders to a cold
   // one break it.
   const bool warm = phase == steward_phase::kWarm;
--- a/src/coordination/admission_gate.h
+++ b/src/coordination/admission_gate.h
@@ -21,7 +21,11 @@
   admission_gate(std::string upstream, const steward_standing& standing);
 
   /// Takes a changed standing in; returns whether the stewardship just ended.
-  bool OnStandingChanged();
+  bool OnStandingChanged(monotonic_time now);
+  /// An earlier steward's requests may run for this long after its end.
+  void SetLongestRequest(std::chrono::milliseconds time) { longest_ = time; }
+  /// The last steward told what of its work may still run.
+  void OnHandedOver();
   /// Closes until a later roster names this instance again.
   void Release();
   void SetDataCentreOut(bool out) { out_ = out; }
@@ -40,6 +44,9 @@
   bool held_ = false;
   bool out_ = false;
   std::optional<std::uint64_t> released_at_epoch_;
+  std::chrono::milliseconds longest_{0};
+  bool handed_over_ = false;
+  monotonic_time settled_at_{};  // Nothing of an earlier steward runs then.
 };
 
 }  // namespace papayaglade
--- a/src/coordination/upstream_control.cc
+++ b/src/coordination/upstream_control.cc
@@ -41,6 +41,8 @@
       return "no_answer";
     case phase_cause::kStandingLost:
       return "standing_lost";
+    case phase_cause::kPaused:
+      return "paused";
     case phase_cause::kReturned:
       return "returned";
   }
--- a/src/coordination/upstream_control.h
+++ b/src/coordination/upstream_control.h
@@ -50,6 +50,7 @@
   kLeavingSign,
   kNoAnswer,
   kStandingLost,
+  kPaused,
   kReturned,
 };
 
--- a/src/coordination/upstream_dispatcher.cc
+++ b/src/coordination/upstream_dispatcher.cc
@@ -192,6 +192,7 @@
 
 void upstream_dispatcher::OnTick() {
   const monotonic_time now = port_.Now();
+  NotePause(now);
   control_.OnTick(now);
   for (const queued_attempt& late : queue_.TakeDue(now)) {
     const bool cold = control_.Phase() == steward_phase::kCold;
@@ -204,7 +205,7 @@
 }
 
 void upstream_dispatcher::OnStandingChanged() {
-  if (gate_.OnStandingChanged()) {
+  if (gate_.OnStandingChanged(port_.Now())) {
     control_.Forget(phase_cause::kStandingLost, port_.Now());
     CloseIdle();
   }
@@ -219,6 +220,11 @@
   Pump();
 }
 
+void upstream_dispatcher::SetLongestRequest(std::chrono::milliseconds time) {
+  if (time.count() == 0) return;
+  gate_.SetLongestRequest(time + settings_.control.unproven_margin);
+}
+
 void upstream_dispatcher::SetDefinition(const upstream_definition& definition) {
   const bool moved = definition.address != definition_.address;
   definition_ = definition;
@@ -241,6 +247,7 @@
 }
 
 void upstream_dispatcher::Adopt(const upstream_state& state) {
+  gate_.OnHandedOver();
   control_.Adopt(state, port_.Now());
   Pump();
 }
@@ -250,6 +257,7 @@
     // The clock is read anew for each send: the process may have been paused
     // anywhere before this line.
     const monotonic_time now = port_.Now();
+    NotePause(now);
     if (const auto reason = gate_.Blocked(control_.Phase(), now)) {
       RefuseAll(*reason);
       break;
@@ -257,6 +265,8 @@
     const auto connection = pool_.PickForWork();
     if (!connection.has_value()) break;
     if (!control_.MaySend(connection->verified, now)) break;
+    // A process behind a new connection may have just started.
+    if (!connection->verified && !standing_.Proven(now)) break;
     auto attempt = queue_.Pop(now);
     if (now + ExpectedTime() >= attempt->deadline) {
       Refuse(*attempt, shard_reason::kDeadline);
@@ -268,6 +278,14 @@
   MaintainPool(port_.Now());
 }
 
+void upstream_dispatcher::NotePause(monotonic_time now) {
+  const bool paused = last_awake_ != monotonic_time{} &&
+                      now - last_awake_ >= settings_.longest_pause;
+  last_awake_ = now;
+  // Another instance may have taken over, and the upstream restarted.
+  if (paused) control_.Forget(phase_cause::kPaused, now);
+}
+
 bool upstream_dispatcher::Idle() const {
   return queue_.Empty() && !exchanges_.HasUnreportedWork();
 }
@@ -293,7 +311,8 @@
   const std::uint64_t id = port_.NextId();
   monotonic_time not_after =
       std::min(attempt.deadline, now + settings_.longest_handling);
-  if (control_.Phase() != steward_phase::kWarm) {
+  const bool warm = control_.Phase() == steward_phase::kWarm;
+  if (!warm || !connection.verified) {
     not_after = std::min(not_after, standing_.ProvenUntil());
   }
   if (!port_.SendWork(connection.id, id, attempt, now, not_after)) {
--- a/src/coordination/upstream_dispatcher.h
+++ b/src/coordination/upstream_dispatcher.h
@@ -32,6 +32,8 @@
   std::chrono::milliseconds longest_probe_wait{5000};
   /// A request is not written later than this after it was admitted.
   std::chrono::milliseconds longest_handling{50};
+  /// After a longer pause of this process nothing it knew is trusted.
+  std::chrono::milliseconds longest_pause{1000};
 };
 
 /// Carries out what a dispatcher decides; implemented by the stewards duty.
@@ -98,6 +100,8 @@
   /// The standing, the order or the definition may have changed.
   void OnStandingChanged();
   void SetDataCentreOut(bool out);
+  /// The longest deadline of the service's workloads; zero without any.
+  void SetLongestRequest(std::chrono::milliseconds time);
   void SetDefinition(const upstream_definition& definition);
 
   /// Ends the stewardship here; nothing new is sent until a later roster
@@ -121,6 +125,7 @@
                 queued_attempt attempt, monotonic_time now);
   bool CanMeetDeadline(const queued_attempt& attempt, monotonic_time now) const;
   std::chrono::microseconds ExpectedTime() const;
+  void NotePause(monotonic_time now);
   void RefuseAll(shard_reason reason);
   void Refuse(const queued_attempt& attempt, shard_reason reason);
   void ReportLost(upstream_exchange& lost, shard_reason reason);
@@ -152,6 +157,7 @@
   std::vector<queued_attempt> cancels_;
   std::uint64_t first_current_id_ = 0;  // Older connections go elsewhere.
   health_schedule health_;
+  monotonic_time last_awake_{};
   reset_watch resets_;
 };
 
--- a/tests/unit/upstream_dispatcher_test.cc
+++ b/tests/unit/upstream_dispatcher_test.cc
@@ -247,6 +247,38 @@
   CHECK(next_steward.dispatcher.Summary().phase == steward_phase::kWarm);
 }
 
+TEST_CASE("a takeover without a hand-over waits for the work of the last one",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  const auto lose_and_regain = [&model] {
+    model.standing.Update({});
+    model.dispatcher.OnStandingChanged();
+    model.Prove(milliseconds(100000));
+  };
+  model.dispatcher.SetLongestRequest(milliseconds(500));
+  lose_and_regain();
+  Load(model, milliseconds(550));
+  CHECK(model.sent == 0);
+  Load(model, milliseconds(200));
+  CHECK(model.sent > 0);
+  lose_and_regain();
+  model.dispatcher.Adopt({});
+  const std::uint64_t before = model.sent;
+  Load(model, milliseconds(300));
+  CHECK(model.sent > before);
+}
+
+TEST_CASE("a steward paused past its lease forgets that the upstream was warm",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.Prove(milliseconds(500));
+  model.Freeze(milliseconds(2000));
+  const std::uint64_t before = model.sent;
+  Load(model, milliseconds(2500));
+  CHECK(model.sent == before);
+}
+
 TEST_CASE("a fenced upstream gets nothing before the fence ends",
           "[upstream]") {
   model_upstream model(kLimits, kSeed);
