Prove the end of work whose connection broke by a cancellation

Ruled out: straggling replies and link delays alone (the load before the resets is answered whole). Change: a broken connection's attempt goes into the next cancellation; the upstream's word that it does not run frees the slot. The stand-in refuses an attempt that arrives after it was said to run no more. Red with the mechanism off: 'CHECK( unproven == 0 ) with expansion: 1 == 0'.

--- /dev/null
+++ b/src/coordination/cancel_list.cc
@@ -0,0 +1,61 @@
+#include "coordination/cancel_list.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace papayaglade {
+
+namespace {
+
+constexpr std::chrono::milliseconds kCancelWorth{500};
+constexpr std::size_t kCancelsAtOnce = 64;
+
+}  // namespace
+
+void cancel_list::Add(const queued_attempt& attempt) {
+  pending_.push_back(attempt);
+}
+
+void cancel_list::AddBroken(std::uint64_t exchange_id,
+                            const queued_attempt& attempt) {
+  broken_.push_back({exchange_id, attempt.Key(), attempt.deadline});
+  pending_.push_back(attempt);
+}
+
+std::vector<queued_attempt> cancel_list::NextBatch() const {
+  const std::size_t count = std::min(pending_.size(), kCancelsAtOnce);
+  return {pending_.begin(),
+          pending_.begin() + static_cast<std::ptrdiff_t>(count)};
+}
+
+void cancel_list::DropBatch() {
+  const std::size_t count = std::min(pending_.size(), kCancelsAtOnce);
+  pending_.erase(pending_.begin(),
+                 pending_.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
+std::vector<std::uint64_t> cancel_list::TakeProven(
+    const std::vector<attempt_key>& ended) {
+  std::vector<std::uint64_t> proven;
+  const auto is_proven = [&ended](const broken_exchange& each) {
+    return std::find(ended.begin(), ended.end(), each.key) != ended.end();
+  };
+  for (const broken_exchange& each : broken_) {
+    if (is_proven(each)) proven.push_back(each.exchange_id);
+  }
+  broken_.erase(std::remove_if(broken_.begin(), broken_.end(), is_proven),
+                broken_.end());
+  return proven;
+}
+
+void cancel_list::Expire(monotonic_time now) {
+  const auto ended = [now](const auto& each) {
+    return each.deadline + kCancelWorth <= now;
+  };
+  pending_.erase(std::remove_if(pending_.begin(), pending_.end(), ended),
+                 pending_.end());
+  broken_.erase(std::remove_if(broken_.begin(), broken_.end(), ended),
+                broken_.end());
+}
+
+}  // namespace papayaglade
--- a/src/coordination/upstream_dispatcher.cc
+++ b/src/coordination/upstream_dispatcher.cc
@@ -11,8 +11,6 @@
 
 constexpr std::chrono::milliseconds kEndedGrace{100};
 // An upstream slow to notice a deadline may still be told.
-constexpr std::chrono::milliseconds kCancelWorth{500};
-constexpr std::size_t kCancelsAtOnce = 64;
 
 }  // namespace
 
@@ -52,7 +50,7 @@
     if (each.kind != exchange_kind::kWork || each.reported) continue;
     const attempt_key key = each.work.Key();
     if (!std::binary_search(keys.begin(), keys.end(), key)) continue;
-    cancels_.push_back(each.work);
+    cancels_.Add(each.work);
     ReportLost(each, shard_reason::kCancelled);
   }
 }
@@ -91,6 +89,7 @@
   const bool taken_up = event.exchange_id == lost.id;
   if (taken_up && !event.nothing_sent) {
     control_.OnUnproven(lost.id);
+    cancels_.AddBroken(lost.id, lost.work);
     ReportLost(lost, shard_reason::kUpstreamLost);
     return NoteReset(true, port_.Now());
   }
@@ -187,6 +186,10 @@
     each.ended = true;
     each.due = now + kEndedGrace;
   }
+  // Work of broken connections would else hold its slots until its deadline.
+  for (const std::uint64_t id : cancels_.TakeProven(ended)) {
+    control_.OnEnded(id);
+  }
   Finished(event, done, now);
 }
 
@@ -199,7 +202,7 @@
     Refuse(late, cold ? shard_reason::kCold : shard_reason::kDeadline);
   }
   CheckOverdue(now);
-  DropEndedCancels(now);
+  cancels_.Expire(now);
   Pump();
   PollHealth(now);
 }
@@ -440,7 +443,7 @@
   }
   if (!late.reported) {
     ReportLost(late, shard_reason::kDeadline);
-    cancels_.push_back(late.work);
+    cancels_.Add(late.work);
   }
   const monotonic_time deadline = late.work.deadline;
   if (now < deadline + settings_.control.unproven_margin) return;
@@ -462,29 +465,19 @@
   RefuseAll(shard_reason::kUpstreamLost);
 }
 
-void upstream_dispatcher::DropEndedCancels(monotonic_time now) {
-  const auto ended = [now](const queued_attempt& each) {
-    return each.deadline + kCancelWorth <= now;
-  };
-  cancels_.erase(std::remove_if(cancels_.begin(), cancels_.end(), ended),
-                 cancels_.end());
-}
-
 void upstream_dispatcher::SendCancels() {
-  if (cancels_.empty()) return;
+  if (cancels_.Empty()) return;
   const auto connection = pool_.PickForCheck();
   if (!connection.has_value()) return;
-  const std::size_t count = std::min(cancels_.size(), kCancelsAtOnce);
-  const auto end = cancels_.begin() + static_cast<std::ptrdiff_t>(count);
   upstream_exchange cancel;
   cancel.id = port_.NextId();
   cancel.connection_id = connection->id;
   cancel.kind = exchange_kind::kCancel;
   cancel.sent = port_.Now();
   cancel.due = cancel.sent + settings_.health_timeout;
-  cancel.cancelled.assign(cancels_.begin(), end);
+  cancel.cancelled = cancels_.NextBatch();
   if (!port_.SendCancel(connection->id, cancel.id, cancel.cancelled)) return;
-  cancels_.erase(cancels_.begin(), end);
+  cancels_.DropBatch();
   pool_.OnBusy(connection->id);
   exchanges_.Add(std::move(cancel));
 }
--- a/src/coordination/upstream_dispatcher.h
+++ b/src/coordination/upstream_dispatcher.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coordination/admission_gate.h"
+#include "coordination/cancel_list.h"
 #include "coordination/class_queue.h"
 #include "coordination/connection_pool.h"
 #include "coordination/exchange_table.h"
@@ -141,7 +142,6 @@
   void CheckOverdue(monotonic_time now);
   void OnOverdueWork(upstream_exchange& late, monotonic_time now);
   void OnOverdueCheck(const upstream_exchange& late, monotonic_time now);
-  void DropEndedCancels(monotonic_time now);
   void SendCancels();
   void PollHealth(monotonic_time now);
 
@@ -154,7 +154,7 @@
   class_queue queue_;
   connection_pool pool_;
   exchange_table exchanges_;
-  std::vector<queued_attempt> cancels_;
+  cancel_list cancels_;
   std::uint64_t first_current_id_ = 0;  // Older connections go elsewhere.
   health_schedule health_;
   monotonic_time last_awake_{};
--- a/tests/standin/upstream_standin.cc
+++ b/tests/standin/upstream_standin.cc
@@ -136,6 +136,9 @@
 void upstream_standin::Begin(json body, bool is_run,
                              const http_port::responder& respond) {
   const auto attempt = body.value("attempt", std::string());
+  if (cancelled_.count(attempt) != 0) {
+    return respond(Reply(kStatusEnded, {{"ended", "cancelled"}}));
+  }
   if (is_run) log_.Run(body.value("query", std::string()));
   const microseconds service = ServiceTime();
   const microseconds left(body.value("deadline_us", std::int64_t{0}));
@@ -186,8 +189,13 @@
   json ended = json::array();
   for (const json& each : body.value("attempts", json::array())) {
     ended.push_back(each);
-    const auto found = running_.find(each.get<std::string>());
-    if (found == running_.end()) continue;
+    const auto name = each.get<std::string>();
+    const auto found = running_.find(name);
+    if (found == running_.end()) {
+      // What is said to run no more must not start when it arrives late.
+      cancelled_.insert(name);
+      continue;
+    }
     log_.Count("cancelled");
     const http_port::responder respond = found->second.respond;
     running_.erase(found);
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "http_port.h"
 #include "upstream_log.h"
@@ -83,6 +84,7 @@
   std::optional<monotonic_time> cold_shown_;
   int answers_to_lose_ = 0;
   std::unordered_map<std::string, running_request> running_;
+  std::unordered_set<std::string> cancelled_;
   upstream_log log_;
 };
 
--- a/tests/unit/upstream_dispatcher_test.cc
+++ b/tests/unit/upstream_dispatcher_test.cc
@@ -169,6 +169,19 @@
   CHECK(model.sent == before);
 }
 
+TEST_CASE("work of a broken connection frees its slot once its end is proven",
+          "[upstream]") {
+  model_upstream model(kLimits, kSeed);
+  Warm(model);
+  model.Run(milliseconds(200));
+  model.Ask(kNoDeadline);
+  model.Run(milliseconds(1));
+  model.ResetOne();
+  REQUIRE(model.dispatcher.Summary().unproven == 1);
+  model.Run(milliseconds(200));
+  CHECK(model.dispatcher.Summary().unproven == 0);
+}
+
 TEST_CASE("a silent connection is retired and counts against the limit",
           "[upstream]") {
   model_upstream model(kLimits, kSeed);
