Publish past the fleet's version when the platform came back with less

Cause: instances never step below the highest version seen, so a publication over a restored platform was accepted and never in force. Ruled out: letting instances step back (breaks the promise that a version never reverts). Change: publish asks the instances first and repeats its write until the object's version is above theirs. Red before: the new test's case accepted version 3 with the fleet on 4.

--- a/src/app/fleet_watch.cc
+++ b/src/app/fleet_watch.cc
@@ -60,6 +60,15 @@
   }
 }
 
+std::uint64_t fleet_watch::HighestVersion() {
+  std::uint64_t highest = 0;
+  for (instance_version& each : instances_) {
+    Ask(each);
+    highest = std::max(highest, each.version);
+  }
+  return highest;
+}
+
 void fleet_watch::Ask(instance_version& instance) const {
   const http_connection::outcome outcome = CallHttp(
       instance.operators, {"GET", "/configuration", "", ""}, kAskTimeout);
--- a/src/app/fleet_watch.h
+++ b/src/app/fleet_watch.h
@@ -35,6 +35,9 @@
   /// passed; returns true when all are.
   bool Await(std::uint64_t version, std::chrono::milliseconds patience);
 
+  /// Asks every instance once; returns the highest version named.
+  std::uint64_t HighestVersion();
+
   const std::vector<instance_version>& Instances() const { return instances_; }
 
  private:
--- a/src/app/publication.cc
+++ b/src/app/publication.cc
@@ -73,10 +73,12 @@
 publication::publication(blocking_platform& platform) : platform_(platform) {}
 
 publication_outcome publication::Run(configuration wanted,
-                                     const std::vector<std::string>& removals) {
+                                     const std::vector<std::string>& removals,
+                                     std::uint64_t fleet_version) {
   const stored_configuration stored = ReadStored(platform_);
   if (stored.status == platform_status::kLost) return Unavailable();
   base_ = stored.value;
+  fleet_version_ = fleet_version;
   wanted_ = std::move(wanted);
   wanted_.version = base_.version + 1;
   wanted_.publication_id = NewPublicationId();
@@ -91,23 +93,28 @@
 }
 
 publication_outcome publication::Write() {
+  publication_outcome outcome = WriteVersion();
+  while (std::holds_alternative<publication_accepted>(outcome) &&
+         wanted_.version <= fleet_version_) {
+    base_ = wanted_;
+    ++wanted_.version;
+    outcome = WriteVersion();
+  }
+  return outcome;
+}
+
+publication_outcome publication::WriteVersion() {
   // Repeating the write is safe: it names the version it replaces, so at most
   // one of the tries takes effect.
   bool sent = false;
   for (int i = 0; i < kMostTries; ++i) {
     const platform_reply reply = platform_.Call(platform_put{
         kKind, kName, base_.version, FormatConfiguration(wanted_)});
-    switch (reply.status) {
-      case platform_status::kOk:
-        return publication_accepted{wanted_.version};
-      case platform_status::kConflict:
-        return Settle();
-      case platform_status::kLost:
-        sent = true;
-        break;
-      default:
-        break;
+    if (reply.status == platform_status::kOk) {
+      return publication_accepted{wanted_.version};
     }
+    if (reply.status == platform_status::kConflict) return Settle();
+    sent = sent || reply.status == platform_status::kLost;
     platform_.Pause(kPause);
   }
   if (sent) return Settle();
--- a/src/app/publication.h
+++ b/src/app/publication.h
@@ -32,18 +32,23 @@
   explicit publication(blocking_platform& platform);
 
   /// Publishes `wanted` over the configuration read at the start. Services
-  /// that would go must be named in `removals`.
+  /// that would go must be named in `removals`. `fleet_version` is the highest
+  /// version that an instance goes by; a platform restored with less is
+  /// written to until it is above that, because instances never step back.
   publication_outcome Run(configuration wanted,
-                          const std::vector<std::string>& removals);
+                          const std::vector<std::string>& removals,
+                          std::uint64_t fleet_version);
 
  private:
   publication_outcome Write();
+  publication_outcome WriteVersion();
   publication_outcome Settle();
   publication_refused Conflict(const configuration& theirs) const;
 
   blocking_platform& platform_;
   configuration base_;
   configuration wanted_;
+  std::uint64_t fleet_version_ = 0;
 };
 
 }  // namespace papayaglade
--- a/src/app/publish_command.cc
+++ b/src/app/publish_command.cc
@@ -94,17 +94,18 @@
     return exit_code::kBadInput;
   }
   platform_session session(platform.Value());
-  const publication_outcome outcome =
-      publication(session).Run(std::move(wanted), removals.getValue());
+  fleet_watch fleet(session);
+  const bool fleet_known = fleet.ReadRosters();
+  const publication_outcome outcome = publication(session).Run(
+      std::move(wanted), removals.getValue(), fleet.HighestVersion());
   if (const auto* refused = std::get_if<publication_refused>(&outcome)) {
     return PrintRefusal(refused->cause, json.getValue());
   }
   const std::uint64_t version = std::get<publication_accepted>(outcome).version;
-  fleet_watch fleet(session);
   bool everywhere = true;
   if (wait.getValue() > 0) {
     everywhere =
-        fleet.ReadRosters() &&
+        fleet_known &&
         fleet.Await(version, std::chrono::milliseconds(wait.getValue()));
   }
   PrintFleet(fleet.Instances(), version, json.getValue());
--- a/tests/unit/publication_test.cc
+++ b/tests/unit/publication_test.cc
@@ -74,7 +74,7 @@
       .WITH(IsPut(_1))
       .IN_SEQUENCE(order)
       .RETURN(Status(platform_status::kConflict));
-  const auto outcome = publication(platform).Run(WithService("a"), {});
+  const auto outcome = publication(platform).Run(WithService("a"), {}, 0);
   REQUIRE(std::holds_alternative<publication_accepted>(outcome));
   CHECK(std::get<publication_accepted>(outcome).version == 1);
 }
@@ -100,7 +100,7 @@
       .WITH(IsGet(_1))
       .IN_SEQUENCE(order)
       .RETURN(Stored(theirs, 5));
-  const auto outcome = publication(platform).Run(wanted, {});
+  const auto outcome = publication(platform).Run(wanted, {}, 0);
   CHECK(CauseOf(outcome).kind == error_kind::kConflict);
   CHECK(CauseOf(outcome).message.find("+theirs") != std::string::npos);
   CHECK(CauseOf(outcome).message.find("+ours") != std::string::npos);
@@ -111,7 +111,7 @@
   REQUIRE_CALL(platform, Call(_))
       .WITH(IsGet(_1))
       .RETURN(Stored(WithService("a"), 1));
-  const auto refused = publication(platform).Run(WithService("b"), {});
+  const auto refused = publication(platform).Run(WithService("b"), {}, 0);
   CHECK(CauseOf(refused).message.find(" a") != std::string::npos);
   REQUIRE_CALL(platform, Call(_))
       .WITH(IsGet(_1))
@@ -119,10 +119,27 @@
   REQUIRE_CALL(platform, Call(_))
       .WITH(IsPut(_1))
       .RETURN(Status(platform_status::kOk));
-  const auto accepted = publication(platform).Run(WithService("b"), {"a"});
+  const auto accepted = publication(platform).Run(WithService("b"), {"a"}, 0);
   CHECK(std::holds_alternative<publication_accepted>(accepted));
 }
 
+TEST_CASE("a platform restored with less is written to past the fleet") {
+  mock_platform platform;
+  std::vector<std::uint64_t> replaced;
+  REQUIRE_CALL(platform, Call(_))
+      .WITH(IsGet(_1))
+      .RETURN(Stored(WithService("a"), 2));
+  REQUIRE_CALL(platform, Call(_))
+      .WITH(IsPut(_1))
+      .TIMES(3)
+      .LR_SIDE_EFFECT(
+          replaced.push_back(std::get<platform_put>(_1).expected_version))
+      .RETURN(Status(platform_status::kOk));
+  const auto outcome = publication(platform).Run(WithService("a"), {}, 4);
+  CHECK(std::get<publication_accepted>(outcome).version == 5);
+  CHECK(replaced == std::vector<std::uint64_t>{2, 3, 4});
+}
+
 TEST_CASE("with later versions in force the outcome is said to be unknown") {
   mock_platform platform;
   configuration later = WithService("a");
@@ -145,7 +162,7 @@
       .WITH(IsGet(_1))
       .IN_SEQUENCE(order)
       .RETURN(Stored(later, 3));
-  const auto outcome = publication(platform).Run(WithService("a"), {});
+  const auto outcome = publication(platform).Run(WithService("a"), {}, 0);
   CHECK(CauseOf(outcome).kind == error_kind::kOutcomeUnknown);
 }
 
