--- a/tests/unit/exploration_world.cc
+++ b/tests/unit/exploration_world.cc
@@ -155,7 +155,7 @@
   from.highest_epoch = epoch;
 }
 
-void exploration_world::Perform(process& from, send_control action) {
+void exploration_world::Perform(process& from, const send_control& action) {
   process* to = Running(action.peer);
   if (to == nullptr || !Reachable(from, *to)) return;
   const bool slow = !calm_ && Draw(10) == 0;
--- a/tests/unit/exploration_world.h
+++ b/tests/unit/exploration_world.h
@@ -50,7 +50,7 @@
   void Tick(process& each);
   void Observe(process& each);
   void Carry(process& from);
-  void Perform(process& from, send_control action);
+  void Perform(process& from, const send_control& action);
   void Perform(process& from, read_roster action);
   void Perform(process& from, write_roster action);
   void Perform(process& from, standing_update action);
