--- a/tests/unit/roster_keeper_test.cc
+++ b/tests/unit/roster_keeper_test.cc
@@ -16,6 +16,7 @@
 
 std::vector<assignable_upstream> Upstreams(int count) {
   std::vector<assignable_upstream> upstreams;
+  upstreams.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     upstreams.push_back({"service-" + std::to_string(i / 360),
                          "upstream-" + std::to_string(i)});
@@ -25,6 +26,7 @@
 
 std::vector<std::string> Names(int first, int count) {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     names.push_back("entry-" + std::to_string(1000 + first + i));
   }
