--- a/scripts/measure_queries.py
+++ b/scripts/measure_queries.py
@@ -10,6 +10,9 @@
 
 CENTRES = ("kigali", "huye")
 STANDIN_PROCESSES = 4
+# Long enough that stragglers stand out from the noise of a shared machine.
+SERVICE_US = 10000
+WARM_UP_SECONDS = 6
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -48,7 +51,7 @@
         for part in range(STANDIN_PROCESSES):
             upstreams = [
                 {"name": each["name"], "port": each["port"], "slots": 8, "cold_slots": 8,
-                 "connections": 64, "service_us": 2000, "jitter_us": 500, "logs": False,
+                 "connections": 64, "service_us": SERVICE_US, "jitter_us": SERVICE_US // 4, "logs": False,
                  "straggler_one_in": straggler_one_in, "straggler_times": 20, "seed": i + 1}
                 for i, each in enumerate(self.upstreams) if i % STANDIN_PROCESSES == part]
             path = self.folder / f"standin-{part}.json"
@@ -67,7 +70,7 @@
         self.service_file.write_text(json.dumps({
             "service": "answers", "upstreams": self.upstreams,
             "workloads": [{"name": "plain", "hedging": False, **common},
-                          {"name": "hedged", "hedge_percentile": 0.97, **common}]}))
+                          {"name": "hedged", "hedge_percentile": 0.98, **common}]}))
         url = f"http://127.0.0.1:{self.base}/objects/snapshots/answers?version=0"
         wait_for(lambda: call(url, self.map_file.read_bytes(), "PUT"))
         subprocess.run([f"{self.options.build}/papayaglade", "publish", "--platform-address",
@@ -103,7 +106,7 @@
         report = self.folder / f"{name}.json"
         before, started = self.processor_seconds(), time.monotonic()
         subprocess.run([f"{self.options.build}/papayaglade", "bench", "--rate", str(rate),
-                        "--seconds", str(self.options.seconds), "--warm-up-seconds", "4",
+                        "--seconds", str(self.options.seconds), "--warm-up-seconds", str(WARM_UP_SECONDS),
                         "--name", name, "--report", str(report),
                         "--plot", str(self.folder / f"{name}.svg"), *arguments],
                        stdout=subprocess.DEVNULL, check=True)
@@ -165,7 +168,7 @@
         time.sleep(3)
         idle_rate = (tier.processor_seconds() - before) / 3
         # The warm-up asks as well, and its processor time is in the sum.
-        scale = (options.seconds + 4) / options.seconds
+        scale = (options.seconds + WARM_UP_SECONDS) / options.seconds
         print(f"\n{shards} shards, {rate} queries a second, stragglers 1 in "
               f"{straggler_one_in or 'none'}; idle {idle_rate * 1000:.1f} ms/s in 4 instances\n")
         print(HEAD)
@@ -188,9 +191,14 @@
     parser.add_argument("--port", type=int, default=21000)
     parser.add_argument("--out", default="build/measure")
     parser.add_argument("--seconds", type=int, default=10)
+    parser.add_argument("--stragglers-only", action="store_true")
+    parser.add_argument("--shards", type=int, default=0, help="only this size: 40 or 360")
     options = parser.parse_args()
     for shards, upstreams, rate in ((40, 40, 40), (360, 90, 8)):
-        measure(options, shards, upstreams, rate, 0, ("direct", "plain"))
+        if options.shards not in (0, shards):
+            continue
+        if not options.stragglers_only:
+            measure(options, shards, upstreams, rate, 0, ("direct", "plain"))
         measure(options, shards, upstreams, rate, 100, ("plain", "hedged"))
 
 
