Bound the hedge delay by three medians

With real processes at 360 shards the learnt p98 was 57 to 137 ms where answers take 17: stragglers hold slots, requests queue behind them, the percentile rises, and later hedges let stragglers hold slots longer. Ruled out: budget exhaustion (3.8 % used) and cold replicas (all warm, limit 4 of 4). Budget unchanged.

--- a/src/coordination/hedge_estimator.cc
+++ b/src/coordination/hedge_estimator.cc
@@ -1,5 +1,7 @@
 #include "coordination/hedge_estimator.h"
 
+#include <algorithm>
+
 namespace papayaglade {
 
 namespace {
@@ -10,6 +12,8 @@
 constexpr double kLeastWeight = 200.0;
 constexpr std::size_t kFadePeriod = 1024;
 constexpr double kFadeFactor = 0.5;
+constexpr double kMedian = 0.5;
+constexpr int kMostMedians = 3;
 
 }  // namespace
 
@@ -40,4 +44,14 @@
   return std::chrono::microseconds(static_cast<std::int64_t>(kLongestUs));
 }
 
+// Stragglers block slots, so that requests queue behind them and the percentile
+// rises; hedging later would let them block for longer still. The bound by the
+// median breaks that circle, and the budget bounds what it costs.
+std::optional<std::chrono::microseconds> hedge_estimator::Delay(
+    double percentile) const {
+  const auto learnt = Percentile(percentile);
+  if (!learnt.has_value()) return std::nullopt;
+  return std::min(*learnt, *Percentile(kMedian) * kMostMedians);
+}
+
 }  // namespace papayaglade
--- a/src/coordination/hedge_estimator.h
+++ b/src/coordination/hedge_estimator.h
@@ -23,6 +23,10 @@
   /// too few samples are known.
   std::optional<std::chrono::microseconds> Percentile(double percentile) const;
 
+  /// When to hedge: after the percentile, or sooner if that lies far above the
+  /// median.
+  std::optional<std::chrono::microseconds> Delay(double percentile) const;
+
  private:
   using time_axis =
       boost::histogram::axis::regular<double,
--- a/src/coordination/query_engine.cc
+++ b/src/coordination/query_engine.cc
@@ -111,7 +111,7 @@
   std::vector<workload_status> all;
   for (const auto& each : workloads_) {
     const double percentile = hedge_percentiles_.at(each.first);
-    all.push_back({each.first, each.second->times.Percentile(percentile)});
+    all.push_back({each.first, each.second->times.Delay(percentile)});
   }
   return all;
 }
--- a/src/coordination/query_run.cc
+++ b/src/coordination/query_run.cc
@@ -136,7 +136,7 @@
   attempts_.reserve(first_of_pinned_ + shards_.size());
   next_hedge_.reset();
   if (spec_.route.work->hedging) {
-    hedge_delay_ = learnt_.times.Percentile(spec_.route.work->hedge_percentile);
+    hedge_delay_ = learnt_.times.Delay(spec_.route.work->hedge_percentile);
   }
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     const replica_pick pick = Pick(i, now);
