--- a/src/coordination/upstream_dispatcher.cc
+++ b/src/coordination/upstream_dispatcher.cc
@@ -11,8 +11,6 @@
 
 constexpr std::chrono::milliseconds kEndedGrace{100};
 // An upstream slow to notice a deadline may still be told.
-constexpr std::chrono::milliseconds kCancelWorth{500};
-constexpr std::size_t kCancelsAtOnce = 64;
 
 }  // namespace
 
@@ -52,7 +50,7 @@
     if (each.kind != exchange_kind::kWork || each.reported) continue;
     const attempt_key key = each.work.Key();
     if (!std::binary_search(keys.begin(), keys.end(), key)) continue;
-    cancels_.push_back(each.work);
+    cancels_.Add(each.work);
     ReportLost(each, shard_reason::kCancelled);
   }
 }
@@ -91,6 +89,7 @@
   const bool taken_up = event.exchange_id == lost.id;
   if (taken_up && !event.nothing_sent) {
     control_.OnUnproven(lost.id);
+    cancels_.AddBroken(lost.id, lost.work);
     ReportLost(lost, shard_reason::kUpstreamLost);
     return NoteReset(true, port_.Now());
   }
@@ -187,24 +186,29 @@
     each.ended = true;
     each.due = now + kEndedGrace;
   }
+  // Work of broken connections would else hold its slots until its deadline.
+  for (const std::uint64_t id : cancels_.TakeProven(ended)) {
+    control_.OnEnded(id);
+  }
   Finished(event, done, now);
 }
 
 void upstream_dispatcher::OnTick() {
   const monotonic_time now = port_.Now();
+  NotePause(now);
   control_.OnTick(now);
   for (const queued_attempt& late : queue_.TakeDue(now)) {
     const bool cold = control_.Phase() == steward_phase::kCold;
     Refuse(late, cold ? shard_reason::kCold : shard_reason::kDeadline);
   }
   CheckOverdue(now);
-  DropEndedCancels(now);
+  cancels_.Expire(now);
   Pump();
   PollHealth(now);
 }
 
 void upstream_dispatcher::OnStandingChanged() {
-  if (gate_.OnStandingChanged()) {
+  if (gate_.OnStandingChanged(port_.Now())) {
     control_.Forget(phase_cause::kStandingLost, port_.Now());
     CloseIdle();
   }
@@ -219,6 +223,11 @@
   Pump();
 }
 
+void upstream_dispatcher::SetLongestRequest(std::chrono::milliseconds time) {
+  if (time.count() == 0) return;
+  gate_.SetLongestRequest(time + settings_.control.unproven_margin);
+}
+
 void upstream_dispatcher::SetDefinition(const upstream_definition& definition) {
   const bool moved = definition.address != definition_.address;
   definition_ = definition;
@@ -241,6 +250,7 @@
 }
 
 void upstream_dispatcher::Adopt(const upstream_state& state) {
+  gate_.OnHandedOver();
   control_.Adopt(state, port_.Now());
   Pump();
 }
@@ -250,6 +260,7 @@
     // The clock is read anew for each send: the process may have been paused
     // anywhere before this line.
     const monotonic_time now = port_.Now();
+    NotePause(now);
     if (const auto reason = gate_.Blocked(control_.Phase(), now)) {
       RefuseAll(*reason);
       break;
@@ -257,6 +268,8 @@
     const auto connection = pool_.PickForWork();
     if (!connection.has_value()) break;
     if (!control_.MaySend(connection->verified, now)) break;
+    // A process behind a new connection may have just started.
+    if (!connection->verified && !standing_.Proven(now)) break;
     auto attempt = queue_.Pop(now);
     if (now + ExpectedTime() >= attempt->deadline) {
       Refuse(*attempt, shard_reason::kDeadline);
@@ -268,6 +281,14 @@
   MaintainPool(port_.Now());
 }
 
+void upstream_dispatcher::NotePause(monotonic_time now) {
+  const bool paused = last_awake_ != monotonic_time{} &&
+                      now - last_awake_ >= settings_.longest_pause;
+  last_awake_ = now;
+  // Another instance may have taken over, and the upstream restarted.
+  if (paused) control_.Forget(phase_cause::kPaused, now);
+}
+
 bool upstream_dispatcher::Idle() const {
   return queue_.Empty() && !exchanges_.HasUnreportedWork();
 }
@@ -293,7 +314,8 @@
   const std::uint64_t id = port_.NextId();
   monotonic_time not_after =
       std::min(attempt.deadline, now + settings_.longest_handling);
-  if (control_.Phase() != steward_phase::kWarm) {
+  const bool warm = control_.Phase() == steward_phase::kWarm;
+  if (!warm || !connection.verified) {
     not_after = std::min(not_after, standing_.ProvenUntil());
   }
   if (!port_.SendWork(connection.id, id, attempt, now, not_after)) {
@@ -421,7 +443,7 @@
   }
   if (!late.reported) {
     ReportLost(late, shard_reason::kDeadline);
-    cancels_.push_back(late.work);
+    cancels_.Add(late.work);
   }
   const monotonic_time deadline = late.work.deadline;
   if (now < deadline + settings_.control.unproven_margin) return;
@@ -443,29 +465,19 @@
   RefuseAll(shard_reason::kUpstreamLost);
 }
 
-void upstream_dispatcher::DropEndedCancels(monotonic_time now) {
-  const auto ended = [now](const queued_attempt& each) {
-    return each.deadline + kCancelWorth <= now;
-  };
-  cancels_.erase(std::remove_if(cancels_.begin(), cancels_.end(), ended),
-                 cancels_.end());
-}
-
 void upstream_dispatcher::SendCancels() {
-  if (cancels_.empty()) return;
+  if (cancels_.Empty()) return;
   const auto connection = pool_.PickForCheck();
   if (!connection.has_value()) return;
-  const std::size_t count = std::min(cancels_.size(), kCancelsAtOnce);
-  const auto end = cancels_.begin() + static_cast<std::ptrdiff_t>(count);
   upstream_exchange cancel;
   cancel.id = port_.NextId();
   cancel.connection_id = connection->id;
   cancel.kind = exchange_kind::kCancel;
   cancel.sent = port_.Now();
   cancel.due = cancel.sent + settings_.health_timeout;
-  cancel.cancelled.assign(cancels_.begin(), end);
+  cancel.cancelled = cancels_.NextBatch();
   if (!port_.SendCancel(connection->id, cancel.id, cancel.cancelled)) return;
-  cancels_.erase(cancels_.begin(), end);
+  cancels_.DropBatch();
   pool_.OnBusy(connection->id);
   exchanges_.Add(std::move(cancel));
 }
