--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,8 +21,9 @@
 while IFS='|' read -r name _; do
   name=$(echo "$name" | xargs)
   [[ -z $name || $name == \#* || $name == *.scenario ]] && continue
-  without+=("~$name")
   echo "known red: $name"
+  name=${name//,/\\,} # a plain comma would end the name in Catch2's filter
+  without+=("~$name")
   "$build/unit_tests" "$name" >"$log" 2>&1 && echo "$name (listed in KNOWN-RED.txt, but passed)" || tail -n 20 "$log"
   red=$((red + 1))
 done < <(cat KNOWN-RED.txt 2>/dev/null)
