--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -1,6 +1,5 @@
 #include "app/control_duty.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
