--- a/tests/unit/model_upstream.cc
+++ b/tests/unit/model_upstream.cc
@@ -228,7 +228,8 @@
 }
 
 void model_upstream::Answer(std::uint64_t connection_id,
-                            std::uint64_t exchange_id, upstream_reply reply) {
+                            std::uint64_t exchange_id,
+                            const upstream_reply& reply) {
   At(now_ + kWire, [=] {
     if (!Up(connection_id)) return;
     ToSteward([=] {
--- a/tests/unit/model_upstream.h
+++ b/tests/unit/model_upstream.h
@@ -82,7 +82,7 @@
               int signalled);
   void Reset(std::uint64_t connection_id);
   void Answer(std::uint64_t connection_id, std::uint64_t exchange_id,
-              upstream_reply reply);
+              const upstream_reply& reply);
   bool Up(std::uint64_t connection_id) const;
   bool Cold() const { return now_ < cold_until_; }
   std::chrono::microseconds ServiceTime();
