--- a/src/coordination/stewardship.cc
+++ b/src/coordination/stewardship.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/roster_lookup.h"
+
 namespace papayaglade {
 
 namespace {
@@ -26,20 +28,6 @@
          a.fenced_until == b.fenced_until;
 }
 
-std::string StewardOf(const roster& from, const std::string& upstream) {
-  for (const steward_assignment& each : from.assignments) {
-    if (each.upstream == upstream) return each.steward;
-  }
-  return "";
-}
-
-std::uint64_t SinceEpoch(const roster& from, const std::string& upstream) {
-  for (const steward_assignment& each : from.assignments) {
-    if (each.upstream == upstream) return each.since_epoch;
-  }
-  return 0;
-}
-
 }  // namespace
 
 stewardship::stewardship(const roster_member& self,
@@ -122,10 +110,7 @@
 // The stewards duty stops before peers are told that it has stopped.
 void stewardship::ReleaseLost(const roster& found, monotonic_time now) {
   std::map<std::string, std::uint64_t> kept;
-  const bool member = std::any_of(found.members.begin(), found.members.end(),
-                                  [this](const roster_member& each) {
-                                    return each.identity == self_.identity;
-                                  });
+  const bool member = HasMember(found, self_.identity);
   for (const steward_assignment& each : found.assignments) {
     if (member && each.steward == self_.identity.name) {
       kept[each.upstream] = each.since_epoch;
@@ -398,10 +383,7 @@
 }
 
 bool stewardship::IsMember() const {
-  return std::any_of(newest_.members.begin(), newest_.members.end(),
-                     [this](const roster_member& each) {
-                       return each.identity == self_.identity;
-                     });
+  return HasMember(newest_, self_.identity);
 }
 
 std::uint64_t stewardship::ReleasedEpoch() const {
