--- a/tests/scenarios/runner/scenario.py
+++ b/tests/scenarios/runner/scenario.py
@@ -61,6 +61,9 @@
                   encoding="utf-8") as file:
             for each in self.callers.answers:
                 file.write(json.dumps(dataclasses.asdict(each)) + "\n")
+        for standin in self.system.control:
+            self.system.write(f"{standin}-summary.json",
+                              self.system.summary(standin))
         return (f"{name}:{number}: {text.strip()}\n"
                 f"  after    {time.monotonic() - start:.1f} s\n"
                 f"  expected {expected}\n  seen     {seen}\n"
