--- a/tests/standin/upstream_standin.cc
+++ b/tests/standin/upstream_standin.cc
@@ -11,6 +11,7 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+constexpr std::size_t kMostRemembered = 1'000'000;
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusGone = 410;
@@ -136,9 +137,8 @@
 void upstream_standin::Begin(json body, bool is_run,
                              const http_port::responder& respond) {
   const auto attempt = body.value("attempt", std::string());
-  if (cancelled_.count(attempt) != 0) {
-    return respond(Reply(kStatusEnded, {{"ended", "cancelled"}}));
-  }
+  if (received_.size() >= kMostRemembered) received_.clear();
+  received_.insert(attempt);
   if (is_run) log_.Run(body.value("query", std::string()));
   const microseconds service = ServiceTime();
   const microseconds left(body.value("deadline_us", std::int64_t{0}));
@@ -188,14 +188,12 @@
 http_response upstream_standin::Cancel(const json& body) {
   json ended = json::array();
   for (const json& each : body.value("attempts", json::array())) {
-    ended.push_back(each);
     const auto name = each.get<std::string>();
+    // An attempt that is still on its way may yet begin.
+    if (received_.count(name) == 0) continue;
+    ended.push_back(each);
     const auto found = running_.find(name);
-    if (found == running_.end()) {
-      // What is said to run no more must not start when it arrives late.
-      cancelled_.insert(name);
-      continue;
-    }
+    if (found == running_.end()) continue;
     log_.Count("cancelled");
     const http_port::responder respond = found->second.respond;
     running_.erase(found);
@@ -247,6 +245,7 @@
 
 void upstream_standin::Restart(milliseconds down) {
   running_.clear();
+  received_.clear();
   SetPhase(phase::kDown);
   port_.Close();
   restart_.expires_after(down);
--- a/tests/standin/upstream_standin.h
+++ b/tests/standin/upstream_standin.h
@@ -84,7 +84,7 @@
   std::optional<monotonic_time> cold_shown_;
   int answers_to_lose_ = 0;
   std::unordered_map<std::string, running_request> running_;
-  std::unordered_set<std::string> cancelled_;
+  std::unordered_set<std::string> received_;  ///< In this incarnation.
   upstream_log log_;
 };
 
