Let one fence decide how long a takeover waits

The fence's own wait, longest_request, did not hold for cold requests with longer deadlines. Ruled out: the hand-over (it clears both waits). Change: a cold start's requests end at the upstream within longest_request; the extra wait applies only on top of a fence, by what warm work may run longer.

--- a/src/app/steward_duty.cc
+++ b/src/app/steward_duty.cc
@@ -222,15 +222,17 @@
 
 void steward_duty::Serve(const upstream_definition& definition,
                          std::chrono::milliseconds longest_request) {
+  const request_bounds bounds{settings_.coordination.longest_request,
+                              longest_request};
   upstream_dispatcher* const known = FindByName(definition.name);
   if (known != nullptr) {
-    known->SetLongestRequest(longest_request);
+    known->SetRequestBounds(bounds);
     return known->SetDefinition(definition);
   }
   number_of_[definition.name] = served_.size();
   served_.push_back(
       std::make_unique<served_upstream>(definition, served_.size(), *this));
-  served_.back()->dispatcher.SetLongestRequest(longest_request);
+  served_.back()->dispatcher.SetRequestBounds(bounds);
   served_.back()->dispatcher.OnStandingChanged();
 }
 
--- a/src/coordination/admission_gate.cc
+++ b/src/coordination/admission_gate.cc
@@ -30,8 +30,10 @@
                      standing_.RosterEpoch() > *released_at_epoch_;
   if (newer) released_at_epoch_.reset();
   const bool before = std::exchange(held_, standing_.Holds(upstream_));
-  // A steward that is gone sends nothing more, but what it sent may still run.
-  if (!before && held_ && !handed_over_) settled_at_ = now + longest_;
+  // The fence waits for requests of a cold start; what an earlier steward sent
+  // while the upstream was warm may run for longer.
+  const bool fenced = held_ && standing_.Fenced(upstream_, now);
+  if (fenced && !handed_over_) settled_at_ = standing_.FencedUntil() + excess_;
   if (before && !held_) handed_over_ = false;
   return before && !held_;
 }
--- a/src/coordination/admission_gate.h
+++ b/src/coordination/admission_gate.h
@@ -22,8 +22,8 @@
 
   /// Takes a changed standing in; returns whether the stewardship just ended.
   bool OnStandingChanged(monotonic_time now);
-  /// An earlier steward's requests may run for this long after its end.
-  void SetLongestRequest(std::chrono::milliseconds time) { longest_ = time; }
+  /// How much longer than the fence an earlier steward's work may run.
+  void SetFenceExcess(std::chrono::milliseconds time) { excess_ = time; }
   /// The last steward told what of its work may still run.
   void OnHandedOver();
   /// Closes until a later roster names this instance again.
@@ -44,7 +44,7 @@
   bool held_ = false;
   bool out_ = false;
   std::optional<std::uint64_t> released_at_epoch_;
-  std::chrono::milliseconds longest_{0};
+  std::chrono::milliseconds excess_{0};
   bool handed_over_ = false;
   monotonic_time settled_at_{};  // Nothing of an earlier steward runs then.
 };
--- a/src/coordination/steward_standing.h
+++ b/src/coordination/steward_standing.h
@@ -20,6 +20,7 @@
 
   /// Whether the last steward of `upstream` may still be sending.
   bool Fenced(const std::string& upstream, monotonic_time now) const;
+  monotonic_time FencedUntil() const { return fenced_until_; }
 
   /// Whether nobody can have superseded this instance yet.
   bool Proven(monotonic_time now) const { return now < proven_until_; }
--- a/src/coordination/upstream_dispatcher.cc
+++ b/src/coordination/upstream_dispatcher.cc
@@ -223,9 +223,11 @@
   Pump();
 }
 
-void upstream_dispatcher::SetLongestRequest(std::chrono::milliseconds time) {
-  if (time.count() == 0) return;
-  gate_.SetLongestRequest(time + settings_.control.unproven_margin);
+void upstream_dispatcher::SetRequestBounds(const request_bounds& bounds) {
+  bounds_ = bounds;
+  const auto longest = bounds.any + settings_.control.unproven_margin;
+  gate_.SetFenceExcess(
+      std::max(longest - bounds.cold, std::chrono::milliseconds(0)));
 }
 
 void upstream_dispatcher::SetDefinition(const upstream_definition& definition) {
@@ -312,9 +314,11 @@
     const connection_pool::connection& connection, queued_attempt attempt,
     monotonic_time now) {
   const std::uint64_t id = port_.NextId();
+  // The next steward's fence counts on a cold start's requests ending by then.
+  const bool warm = control_.Phase() == steward_phase::kWarm;
+  if (!warm) attempt.deadline = std::min(attempt.deadline, now + bounds_.cold);
   monotonic_time not_after =
       std::min(attempt.deadline, now + settings_.longest_handling);
-  const bool warm = control_.Phase() == steward_phase::kWarm;
   if (!warm || !connection.verified) {
     not_after = std::min(not_after, standing_.ProvenUntil());
   }
--- a/src/coordination/upstream_dispatcher.h
+++ b/src/coordination/upstream_dispatcher.h
@@ -37,6 +37,14 @@
   std::chrono::milliseconds longest_pause{1000};
 };
 
+/// How long requests may run at an upstream.
+struct request_bounds {
+  /// In a cold start; a takeover waits for it.
+  std::chrono::milliseconds cold{1300};
+  /// The longest deadline of the service's workloads; zero without any.
+  std::chrono::milliseconds any{0};
+};
+
 /// Carries out what a dispatcher decides; implemented by the stewards duty.
 class dispatch_port {
  public:
@@ -101,8 +109,7 @@
   /// The standing, the order or the definition may have changed.
   void OnStandingChanged();
   void SetDataCentreOut(bool out);
-  /// The longest deadline of the service's workloads; zero without any.
-  void SetLongestRequest(std::chrono::milliseconds time);
+  void SetRequestBounds(const request_bounds& bounds);
   void SetDefinition(const upstream_definition& definition);
 
   /// Ends the stewardship here; nothing new is sent until a later roster
@@ -155,6 +162,7 @@
   connection_pool pool_;
   exchange_table exchanges_;
   cancel_list cancels_;
+  request_bounds bounds_;
   std::uint64_t first_current_id_ = 0;  // Older connections go elsewhere.
   health_schedule health_;
   monotonic_time last_awake_{};
