--- a/src/app/membership_part.cc
+++ b/src/app/membership_part.cc
@@ -34,11 +34,11 @@
 membership_part::membership_part(control_context& context)
     : context_(context),
       random_(context.Self().incarnation),
-      membership_(
-          {context.Self(), context.Settings().peers, member_state::kAlive, 0,
-           context.Settings().operators},
-          context.Settings().data_centre,
-          TimesOf(context.Settings().coordination), context.Self().incarnation),
+      membership_({context.Self(), context.Settings().peers,
+                   member_state::kAlive, 0, context.Settings().operators},
+                  context.Settings().data_centre,
+                  TimesOf(context.Settings().coordination),
+                  context.Self().incarnation),
       list_wait_(kFirstListWait, kLongestListWait) {}
 
 void membership_part::OnTick(monotonic_time now) {
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -33,7 +33,7 @@
   std::chrono::milliseconds deadline{1000};
   coverage_policy coverage;
   bool hedging = true;
-  double hedge_percentile = 0.99;  ///< Learnt response-time percentile.
+  double hedge_percentile = 0.98;  ///< Learnt response-time percentile.
   double extra_load = 0.05;        ///< Retries and hedges per first attempt.
   std::size_t results = 10;        ///< Hits kept in a merged answer.
 };
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -66,7 +66,7 @@
         control_(control),
         thread_("peers"),
         inbox_(thread_.Io(), kInboxCapacity,
-               [this](const std::function<void()>& job) { job(); }),
+               [](const std::function<void()>& job) { job(); }),
         check_timer_(thread_.Io()) {
     Prepare(server_);
     Prepare(client_);
