Give delivery to duties a class of its own and find a peer's link at once

Change: peer_delivery; each peer keeps its greeted links; the refusal is built only when the ring is full. A second hello on a link closes it.

--- /dev/null
+++ b/src/transport/peer_delivery.h
@@ -0,0 +1,33 @@
+#ifndef PAPAYAGLADE_TRANSPORT_PEER_DELIVERY_H_
+#define PAPAYAGLADE_TRANSPORT_PEER_DELIVERY_H_
+
+#include <optional>
+
+#include "state/events.h"
+
+namespace papayaglade {
+
+/// Hands what peers say to the duties it is for. A full ring drops the message
+/// with a warning; its sender's own deadlines deal with that.
+class peer_delivery {
+ public:
+  peer_delivery(router_ring& router, steward_ring& stewards,
+                control_ring& control);
+
+  /// Returns the refusal to send back when the stewards' ring is full.
+  std::optional<shard_results> Deliver(shard_batch batch);
+  void Deliver(shard_results results);
+  void Deliver(shard_cancel cancel);
+  void Deliver(const instance_identity& from, control_message message);
+  /// Tells every duty about a link.
+  void Report(const peer_link_event& event);
+
+ private:
+  router_ring& router_;
+  steward_ring& stewards_;
+  control_ring& control_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TRANSPORT_PEER_DELIVERY_H_
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 #include <openssl/crypto.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -16,6 +17,7 @@
 #include "protocol/peer_codec.h"
 #include "transport/io_inbox.h"
 #include "transport/io_thread.h"
+#include "transport/peer_delivery.h"
 #include "transport/refusal_check.h"
 
 namespace papayaglade {
@@ -61,9 +63,7 @@
                  steward_ring& stewards, control_ring& control)
       : settings_(settings),
         self_(self),
-        router_(router),
-        stewards_(stewards),
-        control_(control),
+        delivery_(router, stewards, control),
         thread_("peers"),
         inbox_(thread_.Io(), kInboxCapacity,
                [](const std::function<void()>& job) { job(); }),
@@ -154,6 +154,7 @@
     std::uint64_t incarnation = 0;
     bool dialling = false;
     std::deque<waiting_message> waiting;  ///< Until a link is up.
+    std::vector<link*> greeted;           ///< Owned by `links_`.
   };
   struct dialled_peer {
     instance_identity peer;
@@ -275,9 +276,11 @@
                    << " reason=wrong_key_or_name";
       return CloseLink(from.handle);
     }
+    if (from.greeted) return CloseLink(from.handle);
     from.greeted = true;
     from.peer = hello.identity;
     peer_state& state = peers_[hello.identity.name];
+    state.greeted.push_back(&from);
     if (from.dialled) state.dialling = false;
     for (const waiting_message& each : std::exchange(state.waiting, {})) {
       Write(from, each.bytes, each.control);
@@ -289,56 +292,31 @@
     if (!from.greeted || batch.origin != from.peer) {
       return CloseLink(from.handle);
     }
-    const monotonic_time deadline = monotonic_clock::now() + batch.time_left;
-    shard_results refusal = RefuseAll(batch);
-    if (stewards_.TryPush(batch_event{std::move(batch), deadline})) return;
-    Write(from, EncodePeerMessage(refusal), false);
-  }
-
-  // What a full ring answers: nothing ran, and why.
-  static shard_results RefuseAll(const shard_batch& batch) {
-    shard_results refusal;
-    for (const shard_attempt& each : batch.attempts) {
-      shard_result result;
-      result.attempt_id = each.attempt_id;
-      result.status = shard_status::kNotRun;
-      result.reason = shard_reason::kQueueFull;
-      refusal.results.push_back(std::move(result));
-    }
-    return refusal;
+    const auto refusal = delivery_.Deliver(std::move(batch));
+    if (refusal.has_value()) Write(from, EncodePeerMessage(*refusal), false);
   }
 
   void Receive(link& from, shard_results& results) {
     if (!from.greeted) return CloseLink(from.handle);
-    Push(router_, results_event{std::move(results)});
+    delivery_.Deliver(std::move(results));
   }
 
   void Receive(link& from, shard_cancel& cancel) {
     if (!from.greeted) return CloseLink(from.handle);
-    Push(stewards_, cancel_event{std::move(cancel)});
+    delivery_.Deliver(std::move(cancel));
   }
 
   void Receive(link& from, control_message& message) {
     if (!from.greeted) return CloseLink(from.handle);
-    Push(control_, control_event{from.peer, std::move(message)});
-  }
-
-  template <typename Ring, typename Event>
-  static void Push(Ring& ring, Event event) {
-    if (!ring.TryPush(std::move(event))) {
-      LOG(WARNING) << "event=peer_message_dropped reason=ring_full";
-    }
+    delivery_.Deliver(from.peer, std::move(message));
   }
 
-  // The link to use: greeted, of the peer's newest incarnation if known.
-  link* FindLink(const peer_state& state) {
-    for (auto& each : links_) {
-      link& candidate = each.second;
-      if (!candidate.greeted) continue;
-      const auto owner = peers_.find(candidate.peer.name);
-      if (owner != peers_.end() && &owner->second == &state) return &candidate;
+  // The link to use, by preference one of the peer's newest life.
+  static link* FindLink(const peer_state& state) {
+    for (link* each : state.greeted) {
+      if (each->peer.incarnation == state.incarnation) return each;
     }
-    return nullptr;
+    return state.greeted.empty() ? nullptr : state.greeted.front();
   }
 
   void Write(link& to, const std::string& bytes, bool control) {
@@ -380,6 +358,11 @@
     const auto found = links_.find(handle);
     if (found == links_.end()) return;
     const link closed = found->second;
+    if (closed.greeted) {
+      std::vector<link*>& greeted = peers_[closed.peer.name].greeted;
+      greeted.erase(std::remove(greeted.begin(), greeted.end(), &found->second),
+                    greeted.end());
+    }
     links_.erase(found);
     // A dialled link that ends before its greeting is a dial that failed;
     // otherwise no later message would dial again.
@@ -393,11 +376,11 @@
     }
   }
 
-  bool HasLink(const instance_identity& peer) const {
-    for (const auto& each : links_) {
-      if (each.second.greeted && each.second.peer == peer) return true;
-    }
-    return false;
+  bool HasLink(const instance_identity& peer) {
+    const std::vector<link*>& greeted = peers_[peer.name].greeted;
+    return std::any_of(
+        greeted.begin(), greeted.end(),
+        [&peer](const link* each) { return each->peer == peer; });
   }
 
   void DropStaleLinks(const instance_identity& peer) {
@@ -480,17 +463,12 @@
 
   void Report(const instance_identity& peer,
               peer_link_event::link_state state) {
-    const peer_link_event event{peer, state};
-    Push(router_, event);
-    Push(stewards_, event);
-    Push(control_, event);
+    delivery_.Report({peer, state});
   }
 
   const instance_settings settings_;
   const instance_identity self_;
-  router_ring& router_;
-  steward_ring& stewards_;
-  control_ring& control_;
+  peer_delivery delivery_;
   io_thread thread_;
   io_inbox<std::function<void()>> inbox_;
   boost::asio::steady_timer check_timer_;
