--- a/scripts/check_help.sh
+++ b/scripts/check_help.sh
@@ -6,7 +6,7 @@
 need() {
   ls help/$1 >/dev/null 2>&1 || { echo "no help page: help/$1"; missing=1; }
 }
-for key in $(grep -oE '"[a-z_]+_ms"|"[a-z_]+_bytes"|"(name|data_centre|callers|operators|peers|platform|peer_key|connections|requests_in_flight|platform_calls_per_second)"' src/protocol/settings_codec.cc | tr -d '"' | sort -u); do
+for key in $(grep -oE '"[a-z_]+_ms"|"[a-z_]+_bytes"|"(name|data_centre|callers|operators|peers|peers_listen|seeds|platform|peer_key|connections|requests_in_flight|platform_calls_per_second)"' src/protocol/settings_codec.cc | tr -d '"' | sort -u); do
   need "settings/*$key.md"
 done
 for key in $(grep -oE '(String|Integer|Number|Bool)\(\s*"[a-z_]+"' src/protocol/configuration_codec.cc | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u); do
