Let one piece refuse a whole batch of attempts

Cause: read-through. router_duty and peer_delivery each copied the attempt ids of a batch and built the same not-run results from them. Change: state/batch_refusal serves both; the reasons stay as they were.

--- a/src/app/router_duty.cc
+++ b/src/app/router_duty.cc
@@ -4,6 +4,8 @@
 #include <random>
 #include <utility>
 
+#include "state/batch_refusal.h"
+
 namespace papayaglade {
 
 namespace {
@@ -133,20 +135,9 @@
 }
 
 void router_duty::Perform(std::uint64_t /*query*/, send_batch& action) {
-  std::vector<std::uint64_t> ids;
-  ids.reserve(action.batch.attempts.size());
-  for (const shard_attempt& each : action.batch.attempts) {
-    ids.push_back(each.attempt_id);
-  }
+  const std::vector<std::uint64_t> ids = AttemptIds(action.batch);
   if (Deliver(action.steward, action)) return;
-  shard_results refused;
-  for (const std::uint64_t id : ids) {
-    shard_result result;
-    result.attempt_id = id;
-    result.status = shard_status::kNotRun;
-    result.reason = shard_reason::kPeerUnreachable;
-    refused.results.push_back(std::move(result));
-  }
+  shard_results refused = RefuseAttempts(ids, shard_reason::kPeerUnreachable);
   engine_.OnResults(refused, timer_.Now());
 }
 
--- a/src/transport/peer_delivery.cc
+++ b/src/transport/peer_delivery.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "state/batch_refusal.h"
+
 namespace papayaglade {
 
 namespace {
@@ -16,28 +18,6 @@
   }
 }
 
-std::vector<std::uint64_t> AttemptIds(const shard_batch& batch) {
-  std::vector<std::uint64_t> ids;
-  ids.reserve(batch.attempts.size());
-  for (const shard_attempt& each : batch.attempts) {
-    ids.push_back(each.attempt_id);
-  }
-  return ids;
-}
-
-// What a full ring answers: nothing ran, and why.
-shard_results RefuseAll(const std::vector<std::uint64_t>& attempt_ids) {
-  shard_results refusal;
-  for (const std::uint64_t id : attempt_ids) {
-    shard_result result;
-    result.attempt_id = id;
-    result.status = shard_status::kNotRun;
-    result.reason = shard_reason::kQueueFull;
-    refusal.results.push_back(std::move(result));
-  }
-  return refusal;
-}
-
 }  // namespace
 
 peer_delivery::peer_delivery(router_ring& router, steward_ring& stewards,
@@ -50,7 +30,7 @@
   if (stewards_.TryPush(batch_event{std::move(batch), deadline})) {
     return std::nullopt;
   }
-  return RefuseAll(ids);
+  return RefuseAttempts(ids, shard_reason::kQueueFull);
 }
 
 void peer_delivery::Deliver(shard_results results) {
