--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -12,7 +12,8 @@
 #include "app/metrics_registry.h"
 #include "app/operators_service.h"
 #include "app/service_files.h"
-#include "app/store_feed.h"
+#include "app/store_mirror.h"
+#include "app/tier_state.h"
 #include "protocol/entry_settings_codec.h"
 
 namespace papayaglade {
@@ -23,10 +24,8 @@
 
 constexpr std::size_t kDescriptorsForUpstreams = 2;  // One in so many.
 constexpr std::size_t kOperatorConnections = 32;
-// One watch also tells for the others whether the store still answers, so it
-// waits for less.
-constexpr milliseconds kShortWait{2500};
-constexpr milliseconds kLongWait{12000};
+// How late news may be when those that an instance follows fail together.
+constexpr milliseconds kFollowedNews{2500};
 constexpr milliseconds kSweepPeriod{500};
 constexpr milliseconds kPathPeriod{100};
 constexpr milliseconds kSettingsPeriod{1000};
@@ -51,7 +50,6 @@
                  const entry_wire& wire, const store_format& format)
       : settings_file_(std::move(settings_file)),
         settings_(settings),
-        format_(format),
         log_(loop_),
         directory_(settings.data_centre, settings.bounds, settings.warmup),
         policy_(settings.repeats),
@@ -62,27 +60,19 @@
         readiness_(loop_, readiness_service_, kOperatorConnections),
         metrics_port_(loop_, metrics_service_, kOperatorConnections),
         signals_(loop_.Io(), SIGTERM, SIGINT, SIGHUP),
-        configuration_feed_(
-            loop_, format, log_, settings.store, stored_kind::kConfiguration,
-            kLongWait,
-            {[this](const auto& objects) { OnConfiguration(objects); },
-             [this](const auto& objects) { OnConfiguration(objects); },
-             [this] { SuspectStore(); }, [this] { ResumeFeeds(); }}),
-        upstream_feed_(
-            loop_, format, log_, settings.store, stored_kind::kUpstreams,
-            kLongWait,
-            {[this](const auto& objects) { OnUpstreamList(objects); },
-             [this](const auto& objects) { OnUpstreamEvents(objects); },
-             [this] { SuspectStore(); }, [this] { ResumeFeeds(); }}),
-        closed_feed_(loop_, format, log_, settings.store,
-                     stored_kind::kClosedDataCentres, kShortWait,
-                     {[this](const auto& objects) { OnClosedList(objects); },
-                      [this](const auto& objects) { OnClosedEvents(objects); },
-                      [this] { SuspectStore(); }, [this] { ResumeFeeds(); }}),
-        registry_(loop_, format, log_, settings.store, settings.name,
-                  settings.data_centre, [this](const fleet_position& fleet) {
+        state_(format, log_, directory_, service_),
+        mirror_(loop_, format, log_, settings, MayFollow(),
+                {[this](stored_kind kind, const auto& objects) {
+                   state_.OnChanges(kind, objects);
+                 },
+                 [this](const auto& members) { registry_.Learn(members); }}),
+        registry_(loop_, format, log_, settings.store,
+                  {settings.name, settings.data_centre, settings.control},
+                  [this](const fleet_position& fleet,
+                         const std::vector<fleet_member>& members) {
                     directory_.SetFleet(fleet);
                     policy_.SetInstances(fleet.instances);
+                    mirror_.SetMembers(members);
                   }) {}
 
   std::string Start() {
@@ -105,15 +95,12 @@
                          .With("ms", age.count()));
         });
     service_.SetStateAge([this] {
-      return std::chrono::duration_cast<milliseconds>(
-          loop_context::Now() - closed_feed_.LastAnswer());
+      return std::chrono::duration_cast<milliseconds>(loop_context::Now() -
+                                                      mirror_.LastAnswer());
     });
-    configuration_feed_.SetWaitsForOthers();
-    upstream_feed_.SetWaitsForOthers();
+    failed = mirror_.Start();
+    if (!failed.empty()) return BindFailure("control", failed);
     AwaitSignal();
-    configuration_feed_.Start();
-    upstream_feed_.Start();
-    closed_feed_.Start();
     registry_.Start();
     PlanSweep();
     PlanPathCheck();
@@ -139,7 +126,7 @@
 
   bool Ready() const {
     return !stopping_ && !diverting_ && service_.Configured() &&
-           upstream_feed_.Listed() && closed_feed_.Listed();
+           mirror_.Complete();
   }
 
   operators_service::page Readiness() const {
@@ -161,114 +148,16 @@
               std::to_string(each.second) + "\n";
     }
     text += "papayaglade_store_calls_total " +
-            std::to_string(configuration_feed_.Calls() +
-                           upstream_feed_.Calls() + closed_feed_.Calls()) +
-            "\n";
+            std::to_string(mirror_.StoreCalls()) + "\n";
+    text +=
+        "papayaglade_followers " + std::to_string(mirror_.Followers()) + "\n";
     return {200, text};
   }
 
-  void SuspectStore() {
-    configuration_feed_.Suspect();
-    upstream_feed_.Suspect();
-    closed_feed_.Suspect();
-  }
-
-  void ResumeFeeds() {
-    configuration_feed_.Resume();
-    upstream_feed_.Resume();
-    closed_feed_.Resume();
-  }
-
-  void OnConfiguration(const std::vector<stored_object>& objects) {
-    for (const stored_object& each : objects) {
-      if (each.name != "main" || each.deleted) continue;
-      fault_list faults;
-      auto decoded = format_.DecodeConfiguration(each, faults);
-      if (!decoded.has_value()) {
-        log_.Write(decision_log::kind::kEvent,
-                   log_line("configuration_refused")
-                       .With("at", faults.front().pointer)
-                       .With("why", faults.front().message)
-                       .With("remedy", faults.front().remedy)
-                       .With("kept", version_));
-        continue;
-      }
-      Apply(std::move(*decoded));
-    }
-  }
-
-  void Apply(tier_configuration configuration) {
-    if (configuration.version <= version_) return;
-    log_.Write(
-        decision_log::kind::kEvent,
-        log_line("configuration")
-            .With("version", configuration.version)
-            .With("before", version_)
-            .With("routes", static_cast<int64_t>(configuration.routes.size())));
-    version_ = configuration.version;
-    const auto shared =
-        std::make_shared<const tier_configuration>(std::move(configuration));
-    directory_.SetConfiguration(shared);
-    service_.SetConfiguration(shared);
-  }
-
-  void OnUpstreamList(const std::vector<stored_object>& objects) {
-    std::vector<upstream_record> records;
-    for (const stored_object& each : objects) {
-      const auto record = DecodeUpstream(each);
-      if (record.has_value()) records.push_back(*record);
-    }
-    log_.Write(decision_log::kind::kEvent,
-               log_line("upstreams_listed")
-                   .With("count", static_cast<std::int64_t>(records.size())));
-    directory_.Replace(records, loop_context::Now());
-  }
-
-  void OnUpstreamEvents(const std::vector<stored_object>& objects) {
-    const monotonic_time now = loop_context::Now();
-    for (const stored_object& each : objects) {
-      std::optional<upstream_record> record;
-      if (!each.deleted) record = DecodeUpstream(each);
-      if (record.has_value()) {
-        directory_.Update(*record, now);
-      } else {
-        directory_.Remove(each.name, now);
-      }
-      log_.Write(decision_log::kind::kEvent,
-                 log_line("upstream_changed")
-                     .With("upstream", each.name)
-                     .With("state", !record.has_value() ? "gone"
-                                    : record->leaving   ? "draining"
-                                                        : "ready"));
-    }
-  }
-
-  std::optional<upstream_record> DecodeUpstream(const stored_object& object) {
-    auto record = format_.DecodeUpstream(object);
-    if (!record.has_value()) {
-      log_.Write(decision_log::kind::kEvent,
-                 log_line("upstream_unreadable").With("name", object.name));
-    }
-    return record;
-  }
-
-  void OnClosedList(const std::vector<stored_object>& objects) {
-    closed_.clear();
-    OnClosedEvents(objects);
-  }
-
-  void OnClosedEvents(const std::vector<stored_object>& objects) {
-    for (const stored_object& each : objects) {
-      if (each.deleted) {
-        closed_.erase(each.name);
-      } else {
-        closed_.insert(each.name);
-      }
-      log_.Write(decision_log::kind::kEvent,
-                 log_line(each.deleted ? "data_centre_in" : "data_centre_out")
-                     .With("data_centre", each.name));
-    }
-    directory_.SetClosedDataCentres(closed_);
+  // A follower whose sources fail learns of a leaving upstream later, and has
+  // to stop using it in time all the same.
+  bool MayFollow() const {
+    return settings_.bounds.drain - directory_.LeaveTime() >= kFollowedNews;
   }
 
   void PlanSweep() {
@@ -372,6 +261,7 @@
     stop_begun_ = loop_context::Now();
     service_.CloseAfterAnswers();
     registry_.Leave();
+    mirror_.StopServing();
     log_.Write(decision_log::kind::kEvent,
                log_line("stopping")
                    .With("requests", static_cast<int64_t>(service_.Active())));
@@ -405,7 +295,6 @@
   std::string settings_file_;
   std::string settings_text_;
   entry_settings settings_;
-  const store_format& format_;
   loop_context loop_;
   decision_log log_;
   metrics_registry metrics_;
@@ -420,12 +309,9 @@
   caller_port readiness_;
   caller_port metrics_port_;
   boost::asio::signal_set signals_;
-  store_feed configuration_feed_;
-  store_feed upstream_feed_;
-  store_feed closed_feed_;
+  tier_state state_;
+  store_mirror mirror_;
   instance_registry registry_;
-  std::int64_t version_ = -1;
-  std::set<std::string> closed_;
   bool stopping_ = false;
   bool diverting_ = false;
   monotonic_time stop_begun_;
--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "protocol/mirror_codec.h"
+
 namespace papayaglade {
 
 namespace {
@@ -12,7 +14,10 @@
 
 constexpr milliseconds kCallTimeout{1500};
 constexpr milliseconds kEnterAgain{1000};
-constexpr milliseconds kSecondCount{1500};
+// While others that start at the same time enter themselves.
+constexpr milliseconds kSecondCount{300};
+constexpr milliseconds kCountAgain{1500};
+constexpr std::size_t kFirstCounts = 3;
 constexpr milliseconds kCountPeriod{6000};
 constexpr std::size_t kLeastAtFirst = 8;
 constexpr int kOk = 200;
@@ -24,14 +29,12 @@
 instance_registry::instance_registry(loop_context& loop,
                                      const store_format& format,
                                      decision_log& log, endpoint store,
-                                     std::string name, std::string data_centre,
-                                     count_handler on_count)
+                                     fleet_member self, count_handler on_count)
     : loop_(loop),
       format_(format),
       log_(log),
       store_(std::move(store)),
-      name_(std::move(name)),
-      data_centre_(std::move(data_centre)),
+      self_(std::move(self)),
       on_count_(std::move(on_count)) {}
 
 void instance_registry::Start() {
@@ -41,7 +44,7 @@
 
 void instance_registry::Leave() {
   leaving_ = true;
-  Call(format_.DeleteRequest(stored_kind::kInstances, name_),
+  Call(format_.DeleteRequest(stored_kind::kInstances, self_.name),
        [this](const http_exchange_channel::result& result) {
          if (!result.failure.has_value()) return;
          log_.Write(decision_log::kind::kEvent,
@@ -51,15 +54,12 @@
 
 void instance_registry::Enter() {
   if (leaving_) return;
-  stored_object self;
-  self.name = name_;
-  self.content = {{"data_centre", data_centre_}};
-  Call(format_.CreateRequest(stored_kind::kInstances, self),
+  Call(format_.CreateRequest(stored_kind::kInstances, EncodeMember(self_)),
        [this](const http_exchange_channel::result& result) {
          const int status = static_cast<int>(result.message.result_int());
-         const bool entered = !result.failure.has_value() &&
-                              (status < kFirstRedirect || status == kExists);
-         if (entered) return;
+         const bool answered = !result.failure.has_value();
+         if (answered && status == kExists && !replaced_) return OnExists();
+         if (answered && (status < kFirstRedirect || status == kExists)) return;
          log_.Write(decision_log::kind::kEvent, log_line("instance_not_entered")
                                                     .With("status", status)
                                                     .With("why", result.why));
@@ -67,6 +67,20 @@
        });
 }
 
+// An earlier process of this name was killed, perhaps at another address.
+void instance_registry::OnExists() {
+  replaced_ = true;
+  Call(format_.DeleteRequest(stored_kind::kInstances, self_.name),
+       [this](const http_exchange_channel::result&) { Enter(); });
+}
+
+void instance_registry::Learn(const std::vector<fleet_member>& members) {
+  if (counts_ > 0) return;
+  members_.clear();
+  for (const fleet_member& each : members) members_[each.name] = each;
+  Tell(true);
+}
+
 void instance_registry::Count() {
   if (leaving_) return;
   Call(format_.ListRequest(stored_kind::kInstances, after_, true),
@@ -85,33 +99,43 @@
             .With("why", result.why)
             .With("kept", static_cast<std::int64_t>(
                               counted_.value_or(fleet_position()).instances)));
-    loop_.After(kSecondCount, [this](monotonic_time) { Count(); });
+    loop_.After(kCountAgain, [this](monotonic_time) { Count(); });
     return;
   }
-  for (const stored_object& each : page->objects) names_.insert(each.name);
+  for (const stored_object& each : page->objects) {
+    members_[each.name] = DecodeMember(each);
+  }
   if (page->more && !page->objects.empty()) {
     after_ = page->objects.back().name;
     return Count();
   }
-  names_.insert(name_);
-  // Others that start with this one are still entering themselves.
-  const bool first = counts_++ == 0;
-  const auto place = names_.find(name_);
+  after_.clear();
+  ++counts_;
+  Tell(counts_ < kFirstCounts);
+  milliseconds wait = kCountPeriod;
+  if (counts_ < kFirstCounts) wait = counts_ == 1 ? kSecondCount : kCountAgain;
+  loop_.After(wait, [this](monotonic_time) { Count(); });
+}
+
+void instance_registry::Tell(bool growing) {
+  members_[self_.name] = self_;
+  const auto place = members_.find(self_.name);
   const fleet_position fleet{
-      std::max(names_.size(), first ? kLeastAtFirst : std::size_t{1}),
-      static_cast<std::size_t>(std::distance(names_.begin(), place))};
+      std::max(members_.size(), growing ? kLeastAtFirst : std::size_t{1}),
+      static_cast<std::size_t>(std::distance(members_.begin(), place))};
   if (!counted_.has_value() || !(fleet == *counted_)) {
-    counted_ = fleet;
     log_.Write(decision_log::kind::kEvent,
                log_line("instances")
                    .With("count", static_cast<std::int64_t>(fleet.instances))
                    .With("index", static_cast<std::int64_t>(fleet.index)));
-    on_count_(fleet);
   }
-  names_.clear();
-  after_.clear();
-  loop_.After(first ? kSecondCount : kCountPeriod,
-              [this](monotonic_time) { Count(); });
+  counted_ = fleet;
+  std::vector<fleet_member> members;
+  members.reserve(members_.size());
+  for (auto& each : std::exchange(members_, {})) {
+    members.push_back(std::move(each.second));
+  }
+  on_count_(fleet, std::move(members));
 }
 
 void instance_registry::Call(
--- a/src/app/instance_registry.h
+++ b/src/app/instance_registry.h
@@ -3,14 +3,16 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "app/decision_log.h"
 #include "protocol/store_format.h"
 #include "state/fleet_position.h"
+#include "state/mirror_message.h"
 #include "transport/http_exchange_channel.h"
 
 namespace papayaglade {
@@ -20,18 +22,25 @@
 /// counted: shares then are smaller than they could be, never larger.
 class instance_registry {
  public:
-  using count_handler = std::function<void(const fleet_position& fleet)>;
+  /// The place of this instance among all, and all of them.
+  using count_handler = std::function<void(const fleet_position& fleet,
+                                           std::vector<fleet_member> members)>;
 
   instance_registry(loop_context& loop, const store_format& format,
-                    decision_log& log, endpoint store, std::string name,
-                    std::string data_centre, count_handler on_count);
+                    decision_log& log, endpoint store, fleet_member self,
+                    count_handler on_count);
 
   void Start();
   void Leave();
+  /// What another instance knows counts until the store has answered.
+  void Learn(const std::vector<fleet_member>& members);
 
  private:
   void Enter();
+  void OnExists();
   void Count();
+  /// `growing`: others are still entering themselves.
+  void Tell(bool growing);
   void OnList(const http_exchange_channel::result& result);
   void Call(
       std::string request,
@@ -41,13 +50,13 @@
   const store_format& format_;
   decision_log& log_;
   endpoint store_;
-  std::string name_;
-  std::string data_centre_;
+  fleet_member self_;
   count_handler on_count_;
-  std::set<std::string> names_;
+  std::map<std::string, fleet_member> members_;  ///< By name.
   std::string after_;
   std::optional<fleet_position> counted_;
   std::size_t counts_ = 0;  ///< Lists that were read.
+  bool replaced_ = false;   ///< An entry of an earlier process.
   bool leaving_ = false;
 };
 
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -25,7 +25,18 @@
       handlers_(std::move(handlers)),
       plan_(wait) {}
 
-void store_feed::Start() { Call(); }
+void store_feed::SetActive(bool active) {
+  active_ = active;
+  if (!active_ || !idle_) return;
+  idle_ = false;
+  Call();
+}
+
+void store_feed::SkipTo(std::int64_t revision) {
+  items_.clear();
+  listed_ = true;
+  plan_.SkipTo(revision);
+}
 
 void store_feed::Suspect() {
   if (plan_.Lost() || plan_.Listing() || awaited_ == 0) return;
@@ -53,15 +64,15 @@
   std::string request =
       next.list ? format_.ListRequest(kind_, next.after, false)
                 : format_.WatchRequest(kind_, next.revision, next.wait);
-  channel_->Exchange(std::move(request), false,
-                     [this, call](const http_exchange_channel::result& result) {
-                       OnResult(call, result);
-                     });
+  channel_->Exchange(
+      std::move(request), false,
+      [this, call, next](const http_exchange_channel::result& result) {
+        if (call == awaited_) OnResult(next, result);
+      });
 }
 
-void store_feed::OnResult(std::uint64_t call,
+void store_feed::OnResult(const feed_plan::call& made,
                           const http_exchange_channel::result& result) {
-  if (call != awaited_) return;
   if (result.failure.has_value()) return Failed(result.why);
   const auto status = static_cast<int>(result.message.result_int());
   if (status != kOk && status != kGone) return Failed("refused");
@@ -74,8 +85,11 @@
     items_.clear();
     return CallAfter(plan_.OnHistoryGone());
   }
+  if (!made.list) return OnEvents(made.revision, result.message.body());
   if (plan_.Listing()) return OnList(result.message.body());
-  OnEvents(result.message.body());
+  // Meanwhile the state came from elsewhere.
+  NoteAnswer();
+  CallAfter(milliseconds(0));
 }
 
 void store_feed::OnList(const std::string& body) {
@@ -88,16 +102,18 @@
   CallAfter(plan_.OnPage(page->revision, page->more, last));
   if (plan_.Listing()) return;
   listed_ = true;
-  const std::vector<stored_object> items = std::exchange(items_, {});
-  handlers_.on_list(items);
+  store_page whole;
+  whole.objects = std::exchange(items_, {});
+  whole.revision = plan_.Revision();
+  handlers_.on_list(whole);
 }
 
-void store_feed::OnEvents(const std::string& body) {
+void store_feed::OnEvents(std::int64_t from, const std::string& body) {
   const auto page = format_.DecodeEvents(body);
   if (!page.has_value()) return Failed("unreadable events");
   NoteAnswer();
   CallAfter(plan_.OnEvents(page->revision, page->objects.size()));
-  if (!page->objects.empty()) handlers_.on_events(page->objects);
+  handlers_.on_events(from, *page);
 }
 
 void store_feed::Failed(const char* why) {
@@ -114,7 +130,7 @@
                    .With("revision", plan_.Revision()));
   }
   const milliseconds delay = plan_.OnFailure();
-  if (listed_ && waits_for_others_) {
+  if (listed_ && waits_for_others_ && active_) {
     parked_ = delay;
   } else {
     CallAfter(delay);
@@ -123,7 +139,10 @@
 }
 
 void store_feed::CallAfter(milliseconds delay) {
-  loop_.After(delay, [this](monotonic_time) { Call(); });
+  loop_.After(delay, [this](monotonic_time) {
+    idle_ = !active_;
+    if (active_) Call();
+  });
 }
 
 void store_feed::NoteAnswer() {
@@ -131,12 +150,13 @@
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   timeout_.reset();
   awaited_ = 0;
-  if (!plan_.Lost()) return;
-  log_.Write(decision_log::kind::kEvent,
-             log_line("store_regained")
-                 .With("kind", StoredKindName(kind_))
-                 .With("revision", plan_.Revision()));
-  if (handlers_.on_regained) handlers_.on_regained();
+  if (plan_.Lost()) {
+    log_.Write(decision_log::kind::kEvent,
+               log_line("store_regained")
+                   .With("kind", StoredKindName(kind_))
+                   .With("revision", plan_.Revision()));
+  }
+  if (handlers_.on_answer) handlers_.on_answer();
 }
 
 }  // namespace papayaglade
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -20,12 +20,14 @@
 class store_feed {
  public:
   struct handlers {
-    std::function<void(const std::vector<stored_object>&)> on_list;
-    std::function<void(const std::vector<stored_object>&)> on_events;
+    /// All objects as of the revision of the page.
+    std::function<void(const store_page&)> on_list;
+    /// What changed after the revision `from`, up to that of the page.
+    std::function<void(std::int64_t from, const store_page&)> on_events;
     /// The store does not answer; may be empty.
     std::function<void()> on_lost;
-    /// It answers again; may be empty.
-    std::function<void()> on_regained;
+    /// It answered; may be empty.
+    std::function<void()> on_answer;
   };
 
   /// `wait` is how long the store may hold a watch.
@@ -33,29 +35,35 @@
              endpoint store, stored_kind kind, std::chrono::milliseconds wait,
              handlers handlers);
 
-  void Start();
+  /// While it is not active, a feed makes no further calls. It starts so.
+  void SetActive(bool active);
+
+  /// The state as of `revision` came from elsewhere.
+  void SkipTo(std::int64_t revision);
+
+  void SetWait(std::chrono::milliseconds wait) { plan_.SetWait(wait); }
 
   /// Another feed found that the store does not answer: a watch that waits is
   /// given up, since its answer may never come.
   void Suspect();
 
-  /// While the store is lost another feed finds out when it is back, and then
-  /// calls Resume: one call at a time is enough.
+  /// After a failure this feed calls again only once another feed had an
+  /// answer and calls Resume: one call at a time is enough to find out.
   void SetWaitsForOthers() { waits_for_others_ = true; }
   void Resume();
 
-  /// A list has come since the start.
-  bool Listed() const { return listed_; }
+  /// Whether the last call failed.
+  bool Lost() const { return plan_.Lost(); }
   std::uint64_t Calls() const { return calls_; }
   /// When the store last answered; the start of time before that.
   monotonic_time LastAnswer() const { return last_answer_; }
 
  private:
   void Call();
-  void OnResult(std::uint64_t call,
+  void OnResult(const feed_plan::call& made,
                 const http_exchange_channel::result& result);
   void OnList(const std::string& body);
-  void OnEvents(const std::string& body);
+  void OnEvents(std::int64_t from, const std::string& body);
   void Failed(const char* why);
   void CallAfter(std::chrono::milliseconds delay);
   void NoteAnswer();
@@ -69,6 +77,8 @@
   feed_plan plan_;
   std::shared_ptr<http_exchange_channel> channel_;
   std::vector<stored_object> items_;  ///< Of a list that is not complete.
+  bool active_ = false;
+  bool idle_ = true;  ///< No call is on, and none is planned.
   bool listed_ = false;
   bool waits_for_others_ = false;
   std::optional<std::chrono::milliseconds> parked_;  ///< Delay once resumed.
--- /dev/null
+++ b/src/app/store_mirror.cc
@@ -0,0 +1,374 @@
+#include "app/store_mirror.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/entry_settings_codec.h"
+#include "protocol/mirror_codec.h"
+
+namespace papayaglade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The watch on closed data centres, the shortest of the three, also tells for
+// the others whether the store still answers.
+constexpr std::size_t kShortest = 2;
+static_assert(kMirroredKinds[kShortest] == stored_kind::kClosedDataCentres);
+constexpr milliseconds kLongWait{12000};
+constexpr milliseconds kShortWait{2500};
+// Others rely on the watch, and have to hear in time that it is dead.
+constexpr milliseconds kShortWaitForOthers{1000};
+constexpr milliseconds kReportPeriod{400};
+// Until all kinds of objects have come once.
+constexpr milliseconds kStartPeriod{100};
+// Asking again also repairs whatever was missed.
+constexpr milliseconds kSubscribePeriod{2000};
+constexpr milliseconds kFollowerSilence{7000};
+// Without any answer from the store other instances are asked by then.
+constexpr milliseconds kFirstAnswer{700};
+
+std::size_t IndexOf(stored_kind kind) {
+  const auto found =
+      std::find(kMirroredKinds.begin(), kMirroredKinds.end(), kind);
+  return static_cast<std::size_t>(found - kMirroredKinds.begin());
+}
+
+milliseconds WaitOf(stored_kind kind, bool sharing) {
+  if (kind != kMirroredKinds[kShortest]) return kLongWait;
+  return sharing ? kShortWaitForOthers : kShortWait;
+}
+
+const char* SourceStateName(source_state state) {
+  switch (state) {
+    case source_state::kFollowing:
+      return "following";
+    case source_state::kWatching:
+      return "watching";
+    case source_state::kLost:
+      return "store_lost";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+store_mirror::store_mirror(loop_context& loop, const store_format& format,
+                           decision_log& log, const entry_settings& settings,
+                           bool sharing, handlers handlers)
+    : loop_(loop),
+      log_(log),
+      name_(settings.name),
+      control_(settings.control),
+      seeds_(settings.seeds),
+      handlers_(std::move(handlers)),
+      links_(loop, {[this](auto link) { OnOpen(link); },
+                    [this](auto link, mirror_message message) {
+                      OnMessage(link, std::move(message));
+                    },
+                    [this](auto link, const std::string& why) {
+                      OnClosed(link, why);
+                    }}),
+      choice_(settings.name, settings.data_centre, sharing),
+      kinds_{
+          {{object_mirror(kMirroredKinds[0]),
+            store_feed(loop, format, log, settings.store, kMirroredKinds[0],
+                       WaitOf(kMirroredKinds[0], sharing), HandlersOf(0))},
+           {object_mirror(kMirroredKinds[1]),
+            store_feed(loop, format, log, settings.store, kMirroredKinds[1],
+                       WaitOf(kMirroredKinds[1], sharing), HandlersOf(1))},
+           {object_mirror(kMirroredKinds[2]),
+            store_feed(loop, format, log, settings.store, kMirroredKinds[2],
+                       WaitOf(kMirroredKinds[2], sharing), HandlersOf(2))}}} {
+  for (std::size_t i = 0; i < kinds_.size(); ++i) {
+    if (i != kShortest) kinds_[i].feed.SetWaitsForOthers();
+  }
+}
+
+store_feed::handlers store_mirror::HandlersOf(std::size_t kind) {
+  store_feed::handlers result;
+  result.on_list = [this, kind](const store_page& page) {
+    OnStorePage(kind, true, 0, page);
+  };
+  result.on_events = [this, kind](std::int64_t from, const store_page& page) {
+    OnStorePage(kind, false, from, page);
+  };
+  result.on_lost = [this] { OnStoreLost(); };
+  result.on_answer = [this, kind] {
+    last_answer_ = loop_context::Now();
+    if (kind == kShortest) ResumeFeeds();
+  };
+  return result;
+}
+
+std::string store_mirror::Start() {
+  std::string failed = links_.Listen(control_);
+  if (!failed.empty()) return failed;
+  const monotonic_time now = loop_context::Now();
+  std::vector<fleet_member> seeds;
+  for (const std::string& each : seeds_) {
+    const auto address = ParseEndpoint(each);
+    if (address.has_value() && *address != control_) {
+      seeds.push_back({each, "", *address});
+    }
+  }
+  choice_.SetSeeds(seeds);
+  choice_.Start(now);
+  Review(now);
+  PlanTick();
+  return "";
+}
+
+void store_mirror::StopServing() {
+  serving_ = false;
+  links_.StopAccepting();
+  for (const auto& each : followers_) links_.Close(each.first);
+  followers_.clear();
+}
+
+void store_mirror::SetMembers(const std::vector<fleet_member>& members) {
+  members_ = members;
+  choice_.SetMembers(members);
+  Review(loop_context::Now());
+}
+
+bool store_mirror::Complete() const {
+  return std::all_of(
+      kinds_.begin(), kinds_.end(),
+      [](const mirrored_kind& each) { return each.objects.Complete(); });
+}
+
+std::uint64_t store_mirror::StoreCalls() const {
+  std::uint64_t calls = 0;
+  for (const mirrored_kind& each : kinds_) calls += each.feed.Calls();
+  return calls;
+}
+
+void store_mirror::OnStorePage(std::size_t kind, bool whole, std::int64_t from,
+                               const store_page& page) {
+  mirror_page mirrored;
+  mirrored.kind = kMirroredKinds[kind];
+  mirrored.whole = whole;
+  mirrored.from = from;
+  mirrored.to = page.revision;
+  mirrored.objects.reserve(page.objects.size());
+  for (const stored_object& each : page.objects) {
+    mirrored.objects.push_back(MirroredFrom(each));
+  }
+  Take(kind, mirrored);
+}
+
+void store_mirror::Take(std::size_t kind, const mirror_page& page) {
+  mirrored_kind& own = kinds_[kind];
+  const bool complete = own.objects.Complete();
+  const auto changes = own.objects.Apply(page);
+  if (!changes.has_value()) return;
+  own.feed.SkipTo(page.to);
+  if (page.whole || !page.objects.empty()) {
+    for (const auto& each : followers_) links_.Send(each.first, page);
+  }
+  if (!changes->empty()) {
+    std::vector<stored_object> objects;
+    objects.reserve(changes->size());
+    for (const mirrored_object& each : *changes) {
+      objects.push_back(StoredFrom(each));
+    }
+    handlers_.on_changes(kMirroredKinds[kind], objects);
+  }
+  if (!complete) Review(loop_context::Now());
+}
+
+void store_mirror::OnStoreLost() {
+  for (mirrored_kind& each : kinds_) each.feed.Suspect();
+  // It is between two calls, so it cannot tell yet.
+  if (!kinds_[kShortest].feed.Lost()) ResumeFeeds();
+  Review(loop_context::Now());
+}
+
+void store_mirror::ResumeFeeds() {
+  for (mirrored_kind& each : kinds_) each.feed.Resume();
+}
+
+void store_mirror::PlanTick() {
+  loop_.After(Complete() ? kReportPeriod : kStartPeriod,
+              [this](monotonic_time now) {
+                Tick(now);
+                PlanTick();
+              });
+}
+
+void store_mirror::Tick(monotonic_time now) {
+  DropSilentFollowers(now);
+  if (now - subscribed_ >= kSubscribePeriod) {
+    subscribed_ = now;
+    for (const auto& each : sources_) Subscribe(each.first);
+  }
+  Review(now);
+  Report();
+}
+
+void store_mirror::Review(monotonic_time now) {
+  choice_.SetStoreAnswers(StoreAnswers(now), now);
+  const source_choice::step step = choice_.Next(now);
+  for (const std::string& name : step.close) {
+    const auto found =
+        std::find_if(sources_.begin(), sources_.end(),
+                     [&](const auto& each) { return each.second == name; });
+    if (found == sources_.end()) continue;
+    links_.Close(found->first);
+    sources_.erase(found);
+  }
+  for (const fleet_member& each : step.dial) Dial(each);
+  SetWatching(choice_.WatchesStore(now));
+  if (State(now) != reported_) Report();
+}
+
+void store_mirror::Dial(const fleet_member& member) {
+  sources_[links_.Dial(member.control)] = member.name;
+}
+
+void store_mirror::SetWatching(bool watching) {
+  for (mirrored_kind& each : kinds_) each.feed.SetActive(watching);
+  if (watching == watching_) return;
+  watching_ = watching;
+  watching_since_ = loop_context::Now();
+  const auto sources = choice_.Watching(loop_context::Now());
+  log_.Write(
+      decision_log::kind::kEvent,
+      log_line(watching ? "store_watched" : "store_followed")
+          .With("sources", static_cast<std::int64_t>(sources))
+          .With("followers", static_cast<std::int64_t>(followers_.size())));
+}
+
+void store_mirror::Report() {
+  const source_state state = State(loop_context::Now());
+  if (state != reported_) {
+    log_.Write(
+        decision_log::kind::kEvent,
+        log_line("mirror_state")
+            .With("state", SourceStateName(state))
+            .With("before", SourceStateName(reported_))
+            .With("followers", static_cast<std::int64_t>(followers_.size())));
+  }
+  reported_ = state;
+  const source_report report{state, Positions()};
+  for (const auto& each : followers_) links_.Send(each.first, report);
+}
+
+bool store_mirror::StoreAnswers(monotonic_time now) const {
+  if (!watching_) return true;
+  if (!Complete() && now - watching_since_ >= kFirstAnswer) return false;
+  return std::none_of(
+      kinds_.begin(), kinds_.end(),
+      [](const mirrored_kind& each) { return each.feed.Lost(); });
+}
+
+source_state store_mirror::State(monotonic_time now) const {
+  if (!watching_) return source_state::kFollowing;
+  const bool current = Complete() && StoreAnswers(now);
+  return current ? source_state::kWatching : source_state::kLost;
+}
+
+void store_mirror::OnOpen(mirror_links::id link) {
+  if (sources_.count(link) != 0) Subscribe(link);
+}
+
+void store_mirror::Subscribe(mirror_links::id link) {
+  links_.Send(link, mirror_subscription{name_, Positions()});
+}
+
+void store_mirror::OnMessage(mirror_links::id link, mirror_message message) {
+  std::visit([this, link](const auto& each) { Receive(link, each); }, message);
+}
+
+void store_mirror::Receive(mirror_links::id link,
+                           const mirror_subscription& message) {
+  if (!serving_) return links_.Close(link);
+  const bool known = followers_.count(link) != 0;
+  const monotonic_time now = loop_context::Now();
+  followers_[link] = {message.instance, now};
+  for (const mirror_position& each : message.positions) {
+    const std::size_t kind = IndexOf(each.kind);
+    if (kind == kinds_.size()) continue;
+    const auto page = kinds_[kind].objects.Since(each.revision);
+    if (page.has_value()) links_.Send(link, *page);
+  }
+  if (known) return;
+  log_.Write(decision_log::kind::kEvent,
+             log_line("follower_linked").With("instance", message.instance));
+  links_.Send(link, fleet_report{members_});
+  links_.Send(link, source_report{State(now), Positions()});
+}
+
+void store_mirror::Receive(mirror_links::id link, const mirror_page& page) {
+  if (sources_.count(link) == 0) return;
+  const std::size_t kind = IndexOf(page.kind);
+  if (kind < kinds_.size()) Take(kind, page);
+}
+
+void store_mirror::Receive(mirror_links::id link, const source_report& report) {
+  const auto source = sources_.find(link);
+  if (source == sources_.end()) return;
+  const monotonic_time now = loop_context::Now();
+  choice_.OnReport(source->second, report.state, now);
+  if (report.state == source_state::kWatching) last_answer_ = now;
+  for (const mirror_position& each : report.positions) {
+    const std::size_t kind = IndexOf(each.kind);
+    if (kind == kinds_.size()) continue;
+    mirrored_kind& own = kinds_[kind];
+    own.objects.Advance(each.revision);
+    if (own.objects.Complete()) own.feed.SkipTo(own.objects.Revision());
+  }
+  Review(now);
+}
+
+void store_mirror::Receive(mirror_links::id link, const fleet_report& report) {
+  if (sources_.count(link) == 0 || report.members.empty()) return;
+  handlers_.on_members(report.members);
+}
+
+void store_mirror::OnClosed(mirror_links::id link, const std::string& why) {
+  const auto source = sources_.find(link);
+  if (source != sources_.end()) {
+    const std::string name = source->second;
+    sources_.erase(source);
+    const monotonic_time now = loop_context::Now();
+    choice_.OnClosed(name, now);
+    log_.Write(decision_log::kind::kEvent,
+               log_line("source_lost").With("instance", name).With("why", why));
+    return Review(now);
+  }
+  const auto known = followers_.find(link);
+  if (known == followers_.end()) return;
+  log_.Write(decision_log::kind::kEvent,
+             log_line("follower_left")
+                 .With("instance", known->second.instance)
+                 .With("why", why));
+  followers_.erase(known);
+}
+
+void store_mirror::DropSilentFollowers(monotonic_time now) {
+  std::vector<mirror_links::id> silent;
+  for (const auto& each : followers_) {
+    if (now - each.second.heard > kFollowerSilence) {
+      silent.push_back(each.first);
+    }
+  }
+  for (const mirror_links::id each : silent) {
+    links_.Close(each);
+    OnClosed(each, "silent");
+  }
+}
+
+std::vector<mirror_position> store_mirror::Positions() const {
+  std::vector<mirror_position> positions;
+  for (const mirrored_kind& each : kinds_) {
+    positions.push_back({each.objects.Kind(), each.objects.Complete()
+                                                  ? each.objects.Revision()
+                                                  : 0});
+  }
+  return positions;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/app/tier_state.h
@@ -0,0 +1,45 @@
+#ifndef PAPAYAGLADE_APP_TIER_STATE_H_
+#define PAPAYAGLADE_APP_TIER_STATE_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "app/decision_log.h"
+#include "app/entry_service.h"
+#include "coordination/upstream_directory.h"
+#include "protocol/store_format.h"
+
+namespace papayaglade {
+
+/// Puts the store's objects into force: configuration, upstreams and closed
+/// data centres. Versions of the configuration only go up.
+class tier_state {
+ public:
+  /// The references must outlive this.
+  tier_state(const store_format& format, decision_log& log,
+             upstream_directory& directory, entry_service& service);
+
+  /// What changed, each object once.
+  void OnChanges(stored_kind kind, const std::vector<stored_object>& objects);
+
+ private:
+  void OnConfiguration(const std::vector<stored_object>& objects);
+  void Apply(tier_configuration configuration);
+  void OnUpstreams(const std::vector<stored_object>& objects);
+  void OnClosedDataCentres(const std::vector<stored_object>& objects);
+  std::optional<upstream_record> DecodeUpstream(const stored_object& object);
+
+  const store_format& format_;
+  decision_log& log_;
+  upstream_directory& directory_;
+  entry_service& service_;
+  std::int64_t version_ = -1;
+  std::set<std::string> closed_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_APP_TIER_STATE_H_
--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -64,6 +64,12 @@
   return milliseconds(0);
 }
 
+void feed_plan::SkipTo(std::int64_t revision) {
+  listing_ = false;
+  after_.clear();
+  revision_ = std::max(revision_, revision);
+}
+
 milliseconds feed_plan::OnFailure() {
   lost_ = true;
   backoff_ = std::clamp(2 * backoff_, kFirstBackoff, kLongestBackoff);
--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -32,6 +32,10 @@
   std::chrono::milliseconds OnHistoryGone();
   std::chrono::milliseconds OnFailure();
 
+  /// The state as of `revision` came from elsewhere: watches go on from there.
+  void SkipTo(std::int64_t revision);
+  void SetWait(std::chrono::milliseconds wait) { wait_ = wait; }
+
   bool Listing() const { return listing_; }
   /// Whether the last call failed.
   bool Lost() const { return lost_; }
--- /dev/null
+++ b/src/coordination/source_choice.h
@@ -0,0 +1,96 @@
+#ifndef PAPAYAGLADE_COORDINATION_SOURCE_CHOICE_H_
+#define PAPAYAGLADE_COORDINATION_SOURCE_CHOICE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/mirror_message.h"
+#include "state/time.h"
+
+namespace papayaglade {
+
+/// Decides which instances this one follows, and whether it has to watch the
+/// store itself. The instances of a data centre are ranked alike by all: one
+/// follows the first two that watch the store and rank before it, and watches
+/// as long as it has not got two. So two watch in each data centre, whoever
+/// else fails, and nobody waits for one that waits for it.
+class source_choice {
+ public:
+  /// Which links to open and close now.
+  struct step {
+    std::vector<fleet_member> dial;
+    std::vector<std::string> close;  ///< Names.
+  };
+
+  /// `sharing`: whether this instance may do without a watch of its own.
+  source_choice(std::string name, std::string data_centre, bool sharing);
+
+  /// Another instance may have all that this one needs: it is asked before
+  /// the store is.
+  void Start(monotonic_time now);
+  /// Addresses to ask as long as no instance is known.
+  void SetSeeds(const std::vector<fleet_member>& seeds);
+  /// Instances as the store lists them; some may be gone.
+  void SetMembers(const std::vector<fleet_member>& members);
+  /// Whether the store answers this instance. While it does not, any
+  /// instance of any data centre that still reaches it is of use.
+  void SetStoreAnswers(bool answers, monotonic_time now);
+
+  /// A source that was dialled said how it gets its state.
+  void OnReport(const std::string& source, source_state state,
+                monotonic_time now);
+  /// The link to it ended, or did not come about.
+  void OnClosed(const std::string& source, monotonic_time now);
+
+  step Next(monotonic_time now);
+  /// Whether this instance has to watch the store itself.
+  bool WatchesStore(monotonic_time now);
+  /// Sources that watch the store and were heard of lately.
+  std::size_t Watching(monotonic_time now) const;
+
+ private:
+  enum class link_state { kNone, kDialled, kLinked };
+  struct candidate {
+    fleet_member member;
+    bool before = false;  ///< Ranks before this instance.
+    link_state link = link_state::kNone;
+    source_state state = source_state::kFollowing;
+    monotonic_time heard;     ///< Or dialled.
+    monotonic_time retry_at;  ///< Not dialled before.
+  };
+
+  void SetCandidates(const std::vector<fleet_member>& members);
+  bool EndsStart(monotonic_time now) const;
+  candidate* Find(const std::string& name);
+  static bool IsGood(const candidate& each, monotonic_time now);
+  /// Sources that this instance may rely on.
+  std::size_t Reliable(monotonic_time now) const;
+  void Leave(candidate& each, std::chrono::milliseconds retry,
+             monotonic_time now, step& result);
+  bool IsWanted(const candidate& each) const;
+  void CloseUseless(monotonic_time now, step& result);
+  /// While the store is lost: makes room to ask others in turn.
+  void Rotate(monotonic_time now, step& result);
+  std::size_t Links() const;
+
+  std::string name_;
+  std::string data_centre_;
+  bool sharing_;
+  bool store_answers_ = true;
+  bool watches_ = true;
+  bool starting_ = false;
+  bool listed_ = false;  ///< Members are known.
+  monotonic_time started_;
+  monotonic_time lost_at_;                        ///< Of the store.
+  std::optional<monotonic_time> changing_since_;  ///< Not `watches_` any more.
+  monotonic_time rotated_at_;
+  std::vector<candidate> candidates_;  ///< In the order of preference.
+  std::vector<std::string> gone_;      ///< Linked, and listed no more.
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_SOURCE_CHOICE_H_
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -56,6 +56,9 @@
   /// Forgets an upstream at once: its address answers for another one.
   void Forget(const std::string& id);
 
+  /// How long a leaving upstream is asked when no other one can be.
+  std::chrono::milliseconds LeaveTime() const { return leave_time_; }
+
   void SetConfiguration(
       std::shared_ptr<const tier_configuration> configuration);
   void SetClosedDataCentres(std::set<std::string> closed);
--- /dev/null
+++ b/src/protocol/mirror_codec.cc
@@ -0,0 +1,197 @@
+#include "protocol/mirror_codec.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "protocol/entry_settings_codec.h"
+
+namespace papayaglade {
+
+namespace {
+
+using nlohmann::json;
+
+// First element of each message; numbers are never reused.
+enum class message_type { kSubscription, kPage, kSource, kFleet };
+
+constexpr char kDataCentre[] = "data_centre";
+constexpr char kControl[] = "control";
+
+template <typename Enum>
+Enum DecodeEnum(const json& value, Enum last) {
+  const int number = value.get<int>();
+  if (number < 0 || number > static_cast<int>(last)) {
+    throw std::out_of_range("enumerator");
+  }
+  return static_cast<Enum>(number);
+}
+
+json EncodePositions(const std::vector<mirror_position>& positions) {
+  json out = json::array();
+  for (const mirror_position& each : positions) {
+    out.push_back(static_cast<int>(each.kind));
+    out.push_back(each.revision);
+  }
+  return out;
+}
+
+std::vector<mirror_position> DecodePositions(const json& in) {
+  std::vector<mirror_position> positions;
+  for (std::size_t i = 0; i < in.size(); i += 2) {
+    positions.push_back({DecodeEnum(in.at(i), stored_kind::kInstances),
+                         in.at(i + 1).get<std::int64_t>()});
+  }
+  return positions;
+}
+
+std::string ControlText(const fleet_member& member) {
+  if (member.control.port == 0) return "";
+  return member.control.address + ":" + std::to_string(member.control.port);
+}
+
+struct encoder {
+  json operator()(const mirror_subscription& message) const {
+    return json::array({static_cast<int>(message_type::kSubscription),
+                        message.instance, EncodePositions(message.positions)});
+  }
+
+  json operator()(const mirror_page& page) const {
+    json objects = json::array();
+    for (const mirrored_object& each : page.objects) {
+      objects.push_back(each.name);
+      objects.push_back(each.deleted);
+      objects.push_back(
+          json::binary({each.document.begin(), each.document.end()}));
+    }
+    return json::array({static_cast<int>(message_type::kPage),
+                        static_cast<int>(page.kind), page.whole, page.from,
+                        page.to, std::move(objects)});
+  }
+
+  json operator()(const source_report& report) const {
+    return json::array({static_cast<int>(message_type::kSource),
+                        static_cast<int>(report.state),
+                        EncodePositions(report.positions)});
+  }
+
+  json operator()(const fleet_report& report) const {
+    json members = json::array();
+    for (const fleet_member& each : report.members) {
+      members.push_back(each.name);
+      members.push_back(each.data_centre);
+      members.push_back(ControlText(each));
+    }
+    return json::array(
+        {static_cast<int>(message_type::kFleet), std::move(members)});
+  }
+};
+
+mirror_page DecodePage(const json& in) {
+  mirror_page page;
+  page.kind = DecodeEnum(in.at(1), stored_kind::kInstances);
+  in.at(2).get_to(page.whole);
+  in.at(3).get_to(page.from);
+  in.at(4).get_to(page.to);
+  const json& objects = in.at(5);
+  for (std::size_t i = 0; i < objects.size(); i += 3) {
+    mirrored_object object;
+    objects.at(i).get_to(object.name);
+    objects.at(i + 1).get_to(object.deleted);
+    const json::binary_t& document = objects.at(i + 2).get_binary();
+    object.document.assign(document.begin(), document.end());
+    page.objects.push_back(std::move(object));
+  }
+  return page;
+}
+
+fleet_report DecodeFleet(const json& in) {
+  fleet_report report;
+  const json& members = in.at(1);
+  for (std::size_t i = 0; i < members.size(); i += 3) {
+    fleet_member member;
+    members.at(i).get_to(member.name);
+    members.at(i + 1).get_to(member.data_centre);
+    const auto control = ParseEndpoint(members.at(i + 2).get<std::string>());
+    member.control = control.value_or(endpoint());
+    report.members.push_back(std::move(member));
+  }
+  return report;
+}
+
+mirror_message Decode(const json& in) {
+  switch (DecodeEnum(in.at(0), message_type::kFleet)) {
+    case message_type::kSubscription:
+      return mirror_subscription{in.at(1).get<std::string>(),
+                                 DecodePositions(in.at(2))};
+    case message_type::kPage:
+      return DecodePage(in);
+    case message_type::kSource:
+      return source_report{DecodeEnum(in.at(1), source_state::kLost),
+                           DecodePositions(in.at(2))};
+    case message_type::kFleet:
+      return DecodeFleet(in);
+  }
+  throw std::out_of_range("message type");
+}
+
+}  // namespace
+
+std::string EncodeMirrorMessage(const mirror_message& message) {
+  std::string bytes;
+  json::to_cbor(std::visit(encoder{}, message), bytes);
+  return bytes;
+}
+
+std::optional<mirror_message> DecodeMirrorMessage(const std::string& bytes) {
+  try {
+    const json in = json::from_cbor(bytes, true, false);
+    if (!in.is_array() || in.empty()) return std::nullopt;
+    return Decode(in);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+mirrored_object MirroredFrom(const stored_object& object) {
+  mirrored_object result{object.name, object.deleted, ""};
+  if (!object.deleted) json::to_cbor(object.content, result.document);
+  return result;
+}
+
+stored_object StoredFrom(const mirrored_object& object) {
+  stored_object result;
+  result.name = object.name;
+  result.deleted = object.deleted;
+  if (object.deleted) return result;
+  result.content = json::from_cbor(object.document, true, false);
+  if (result.content.is_discarded()) result.content = nullptr;
+  return result;
+}
+
+stored_object EncodeMember(const fleet_member& member) {
+  stored_object object;
+  object.name = member.name;
+  object.content = {{kDataCentre, member.data_centre},
+                    {kControl, ControlText(member)}};
+  return object;
+}
+
+fleet_member DecodeMember(const stored_object& object) {
+  fleet_member member;
+  member.name = object.name;
+  const json& content = object.content;
+  if (!content.is_object()) return member;
+  const auto data_centre = content.find(kDataCentre);
+  if (data_centre != content.end() && data_centre->is_string()) {
+    member.data_centre = data_centre->get<std::string>();
+  }
+  const auto control = content.find(kControl);
+  if (control != content.end() && control->is_string()) {
+    const auto address = ParseEndpoint(control->get<std::string>());
+    member.control = address.value_or(endpoint());
+  }
+  return member;
+}
+
+}  // namespace papayaglade
--- a/src/protocol/store_format.h
+++ b/src/protocol/store_format.h
@@ -11,18 +11,11 @@
 
 #include "protocol/fault.h"
 #include "state/route.h"
+#include "state/stored_kind.h"
 #include "state/upstream_record.h"
 
 namespace papayaglade {
 
-/// The kinds of objects in the store.
-enum class stored_kind {
-  kConfiguration,
-  kUpstreams,
-  kClosedDataCentres,
-  kInstances,
-};
-
 const char* StoredKindName(stored_kind kind);
 
 /// One object, or that it is gone.
--- /dev/null
+++ b/tests/unit/loop_store.cc
@@ -0,0 +1,167 @@
+#include "loop_store.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+
+namespace papayaglade {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using tcp = boost::asio::ip::tcp;
+
+constexpr milliseconds kCheckPeriod{5};
+constexpr std::chrono::seconds kPatience{10};
+constexpr std::size_t kConnections = 100;
+
+std::string Answer(int status, const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+std::int64_t QueryNumber(const std::string& target, const std::string& key) {
+  const auto at = target.find(key + "=");
+  if (at == std::string::npos) return -1;
+  return std::stoll(target.substr(at + key.size() + 1));
+}
+
+std::string KindOf(const std::string& target) {
+  const std::string prefix = "/objects/";
+  const auto end = target.find_first_of("/?", prefix.size());
+  return target.substr(prefix.size(), end - prefix.size());
+}
+
+}  // namespace
+
+endpoint FreeEndpoint() {
+  boost::asio::io_context io;
+  const tcp::acceptor probe(
+      io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+bool RunUntil(loop_context& loop, const std::function<bool()>& done) {
+  const monotonic_time end = loop_context::Now() + kPatience;
+  const auto check = std::make_shared<std::function<void(monotonic_time)>>();
+  *check = [&loop, &done, end, check](monotonic_time now) {
+    if (done() || now > end) return loop.Stop();
+    loop.After(kCheckPeriod, *check);
+  };
+  loop.After(milliseconds(0), *check);
+  loop.Io().restart();
+  loop.Run();
+  *check = nullptr;
+  return done();
+}
+
+loop_store::loop_store(loop_context& loop)
+    : loop_(loop), address_(FreeEndpoint()), port_(loop, *this, kConnections) {
+  const std::string failed = port_.Listen(address_);
+  if (!failed.empty()) throw std::runtime_error(failed);
+}
+
+void loop_store::Put(const std::string& kind, const std::string& name,
+                     json content) {
+  objects_[{kind, name}] = std::move(content);
+  Add(kind, name, false);
+}
+
+void loop_store::Delete(const std::string& kind, const std::string& name) {
+  Add(kind, name, true);
+  objects_.erase({kind, name});
+}
+
+void loop_store::Add(const std::string& kind, const std::string& name,
+                     bool deleted) {
+  const json object = {{"meta", {{"name", name}}},
+                       {"spec", objects_[{kind, name}]}};
+  events_.push_back(
+      {++revision_, kind, {{"deleted", deleted}, {"object", object}}});
+  watches_.remove_if(
+      [this](const watch& each) { return AnswerWatch(each, false); });
+}
+
+void loop_store::SetDown(bool down) {
+  down_ = down;
+  if (!down) return;
+  for (const char* kind : {"config", "servers", "evacuations"}) {
+    RefuseWaiting(kind);
+  }
+}
+
+void loop_store::RefuseWaiting(const std::string& kind) {
+  watches_.remove_if([&](const watch& each) {
+    if (each.kind == kind) each.connection->Respond(Answer(503, ""), false);
+    return each.kind == kind;
+  });
+}
+
+std::size_t loop_store::Lists(const std::string& kind) const {
+  const auto found = lists_.find(kind);
+  return found == lists_.end() ? 0 : found->second;
+}
+
+std::size_t loop_store::Waiting(const std::string& kind) const {
+  return static_cast<std::size_t>(
+      std::count_if(watches_.begin(), watches_.end(),
+                    [&](const watch& each) { return each.kind == kind; }));
+}
+
+void loop_store::OnRequest(const std::shared_ptr<caller_connection>& from,
+                           caller_message message) {
+  const std::string target(message.target());
+  const std::string kind = KindOf(target);
+  if (down_) return from->Respond(Answer(503, ""), false);
+  if (message.method() == boost::beast::http::verb::post) {
+    const json body = json::parse(message.body());
+    Put(kind, body["meta"]["name"], body["spec"]);
+    return from->Respond(Answer(200, "{}"), false);
+  }
+  const std::int64_t since = QueryNumber(target, "watch");
+  if (since < 0) return List(from, kind);
+  const watch added{++last_watch_, kind, since, from};
+  if (AnswerWatch(added, false)) return;
+  watches_.push_back(added);
+  loop_.After(milliseconds(QueryNumber(target, "wait_ms")),
+              [this, number = added.number](monotonic_time) {
+                watches_.remove_if([this, number](const watch& each) {
+                  return each.number == number && AnswerWatch(each, true);
+                });
+              });
+}
+
+void loop_store::OnMalformed(const std::shared_ptr<caller_connection>& from,
+                             bool /*too_large*/) {
+  from->Respond(Answer(400, ""), true);
+}
+
+void loop_store::List(const std::shared_ptr<caller_connection>& to,
+                      const std::string& kind) {
+  ++lists_[kind];
+  json items = json::array();
+  for (const auto& each : objects_) {
+    if (each.first.first != kind) continue;
+    items.push_back(
+        {{"meta", {{"name", each.first.second}}}, {"spec", each.second}});
+  }
+  const json body = {{"items", items}, {"has_more", false}, {"at", revision_}};
+  to->Respond(Answer(200, body.dump()), false);
+}
+
+bool loop_store::AnswerWatch(const watch& watch, bool even_empty) {
+  json events = json::array();
+  for (const event& each : events_) {
+    if (each.kind == watch.kind && each.revision > watch.from) {
+      events.push_back(each.body);
+    }
+  }
+  if (events.empty() && !even_empty) return false;
+  const json body = {{"events", events}, {"at", revision_}};
+  watch.connection->Respond(Answer(200, body.dump()), false);
+  return true;
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/tests/unit/loop_store.h
@@ -0,0 +1,81 @@
+#ifndef PAPAYAGLADE_TESTS_UNIT_LOOP_STORE_H_
+#define PAPAYAGLADE_TESTS_UNIT_LOOP_STORE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "state/identity.h"
+#include "transport/caller_port.h"
+
+namespace papayaglade {
+
+/// A free port of this machine.
+endpoint FreeEndpoint();
+
+/// Runs the loop until `done` holds; false when it does not within 10 s.
+bool RunUntil(loop_context& loop, const std::function<bool()>& done);
+
+/// A stand-in of the platform's store on the loop of a test.
+class loop_store : public caller_port::service {
+ public:
+  explicit loop_store(loop_context& loop);
+
+  const endpoint& Address() const { return address_; }
+  void Put(const std::string& kind, const std::string& name,
+           nlohmann::json content);
+  void Delete(const std::string& kind, const std::string& name);
+  /// From now on all calls are refused, those that wait too.
+  void SetDown(bool down);
+  /// Refuses the watches on `kind` that wait now.
+  void RefuseWaiting(const std::string& kind);
+
+  std::size_t Lists(const std::string& kind) const;
+  std::size_t Waiting(const std::string& kind) const;
+
+  caller_limits Limits() const override { return {}; }
+  void OnRequest(const std::shared_ptr<caller_connection>& from,
+                 caller_message message) override;
+  void OnMalformed(const std::shared_ptr<caller_connection>& from,
+                   bool too_large) override;
+
+ private:
+  struct event {
+    std::int64_t revision = 0;
+    std::string kind;
+    nlohmann::json body;
+  };
+  struct watch {
+    std::uint64_t number = 0;
+    std::string kind;
+    std::int64_t from = 0;
+    std::shared_ptr<caller_connection> connection;
+  };
+
+  void Add(const std::string& kind, const std::string& name, bool deleted);
+  void List(const std::shared_ptr<caller_connection>& to,
+            const std::string& kind);
+  bool AnswerWatch(const watch& watch, bool even_empty);
+
+  loop_context& loop_;
+  endpoint address_;
+  caller_port port_;
+  bool down_ = false;
+  std::int64_t revision_ = 100;
+  std::uint64_t last_watch_ = 0;
+  std::map<std::pair<std::string, std::string>, nlohmann::json> objects_;
+  std::vector<event> events_;
+  std::list<watch> watches_;
+  std::map<std::string, std::size_t> lists_;
+};
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_TESTS_UNIT_LOOP_STORE_H_
--- /dev/null
+++ b/tests/unit/mirror_codec_test.cc
@@ -0,0 +1,88 @@
+#include "protocol/mirror_codec.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace papayaglade {
+
+namespace {
+
+constexpr unsigned kSeed = 20261204;
+constexpr int kMutations = 20000;
+
+mirror_page ExamplePage() {
+  return {stored_kind::kUpstreams,
+          true,
+          7,
+          INT64_MAX,
+          {{"i-1", false, std::string("\x00\xff", 2)}, {"i-2", true, ""}}};
+}
+
+template <typename Message>
+Message RoundTrip(const Message& message) {
+  const auto decoded = DecodeMirrorMessage(EncodeMirrorMessage(message));
+  REQUIRE(decoded.has_value());
+  return std::get<Message>(*decoded);
+}
+
+}  // namespace
+
+TEST_CASE("messages between instances survive their encoding", "[mirror]") {
+  const auto page = RoundTrip(ExamplePage());
+  CHECK(page.kind == stored_kind::kUpstreams);
+  CHECK(page.whole);
+  CHECK(page.from == 7);
+  CHECK(page.to == INT64_MAX);
+  REQUIRE(page.objects.size() == 2);
+  CHECK(page.objects[0].document == std::string("\x00\xff", 2));
+  CHECK(page.objects[1].deleted);
+  const auto subscription = RoundTrip(
+      mirror_subscription{"a", {{stored_kind::kClosedDataCentres, 12}}});
+  CHECK(subscription.instance == "a");
+  CHECK(subscription.positions.at(0).revision == 12);
+  const auto report = RoundTrip(source_report{source_state::kLost, {}});
+  CHECK(report.state == source_state::kLost);
+  const auto fleet = RoundTrip(fleet_report{
+      {{"a", "kigali", {"10.0.0.1", 80}}, {"b", "huye", endpoint()}}});
+  CHECK(fleet.members.at(0).control == endpoint{"10.0.0.1", 80});
+  CHECK(fleet.members.at(1).control.port == 0);
+}
+
+TEST_CASE("a stored object comes through other instances unchanged",
+          "[mirror]") {
+  const stored_object object{
+      "i-1", false, nlohmann::json::parse(R"({"a":[1,-2.5,"x",null,true]})")};
+  CHECK(StoredFrom(MirroredFrom(object)).content == object.content);
+  CHECK(StoredFrom({"i-1", false, "\xff\xff"}).content.is_null());
+  CHECK(StoredFrom(MirroredFrom({"i-1", true, nullptr})).deleted);
+}
+
+TEST_CASE("an instance's entry is read, an older or foreign one in part",
+          "[mirror]") {
+  const fleet_member self{"a", "kigali", {"10.0.0.1", 8106}};
+  const fleet_member read = DecodeMember(EncodeMember(self));
+  CHECK(read.data_centre == "kigali");
+  CHECK(read.control == self.control);
+  const fleet_member older =
+      DecodeMember({"b", false, {{"data_centre", "huye"}}});
+  CHECK(older.data_centre == "huye");
+  CHECK(older.control.port == 0);
+  CHECK(DecodeMember({"c", false, "text"}).control.port == 0);
+  CHECK(DecodeMember({"c", false, {{"control", 7}}}).control.port == 0);
+}
+
+TEST_CASE("changed bytes between instances never crash the decoder",
+          "[mirror]") {
+  std::mt19937 random(kSeed);
+  const std::string good = EncodeMirrorMessage(ExamplePage());
+  int refused = 0;
+  for (int i = 0; i < kMutations; ++i) {
+    std::string bytes = good;
+    bytes[random() % bytes.size()] = static_cast<char>(random());
+    bytes.resize(1 + random() % bytes.size());
+    if (!DecodeMirrorMessage(bytes).has_value()) ++refused;
+  }
+  CHECK(refused > 0);
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/tests/unit/object_mirror_test.cc
@@ -0,0 +1,173 @@
+#include "coordination/object_mirror.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace papayaglade {
+
+namespace {
+
+constexpr stored_kind kKind = stored_kind::kUpstreams;
+
+mirror_page Page(std::int64_t from, std::int64_t to,
+                 std::vector<mirrored_object> objects, bool whole = false) {
+  return {kKind, whole, from, to, std::move(objects)};
+}
+
+object_mirror Holding(std::vector<mirrored_object> objects, std::int64_t at) {
+  object_mirror mirror(kKind);
+  mirror.Apply(Page(0, at, std::move(objects), true));
+  return mirror;
+}
+
+}  // namespace
+
+TEST_CASE("a copy begins with all objects and follows their changes",
+          "[mirror]") {
+  object_mirror mirror(kKind);
+  CHECK_FALSE(mirror.Apply(Page(0, 5, {{"a", false, "1"}})).has_value());
+  CHECK_FALSE(mirror.Complete());
+  const auto first = mirror.Apply(Page(0, 10, {{"a", false, "1"}}, true));
+  REQUIRE(first.has_value());
+  CHECK(first->size() == 1);
+  CHECK(mirror.Complete());
+  const auto next =
+      mirror.Apply(Page(10, 12, {{"a", true, ""}, {"b", false, "2"}}));
+  REQUIRE(next.has_value());
+  CHECK(next->size() == 2);
+  CHECK(mirror.Revision() == 12);
+  CHECK(mirror.Size() == 1);
+}
+
+TEST_CASE("a copy never goes back and takes nothing after a gap", "[mirror]") {
+  object_mirror mirror = Holding({{"a", false, "1"}}, 10);
+  CHECK_FALSE(mirror.Apply(Page(0, 9, {}, true)).has_value());
+  CHECK_FALSE(mirror.Apply(Page(8, 10, {{"a", true, ""}})).has_value());
+  CHECK_FALSE(mirror.Apply(Page(11, 12, {{"a", true, ""}})).has_value());
+  mirror_page other = Page(10, 12, {{"a", true, ""}});
+  other.kind = stored_kind::kConfiguration;
+  CHECK_FALSE(mirror.Apply(other).has_value());
+  CHECK(mirror.Size() == 1);
+  CHECK(mirror.Revision() == 10);
+}
+
+// Pattern: two origins whose pages overlap. An upstream that was ready, and
+// drains, must not count as ready again for a moment.
+TEST_CASE("what is known already is not told again", "[mirror]") {
+  object_mirror mirror = Holding({{"a", false, "ready"}}, 10);
+  mirror.Apply(Page(10, 14, {{"a", false, "slow"}, {"a", false, "leaving"}}));
+  const auto again = mirror.Apply(Page(
+      10, 15,
+      {{"a", false, "slow"}, {"a", false, "leaving"}, {"b", false, "ready"}}));
+  REQUIRE(again.has_value());
+  REQUIRE(again->size() == 1);
+  CHECK(again->at(0).name == "b");
+}
+
+TEST_CASE("a new list tells what it adds, changes and lacks", "[mirror]") {
+  object_mirror mirror =
+      Holding({{"a", false, "1"}, {"b", false, "1"}, {"c", false, "1"}}, 10);
+  const auto changes = mirror.Apply(Page(
+      0, 20, {{"a", false, "1"}, {"b", false, "2"}, {"d", false, "1"}}, true));
+  REQUIRE(changes.has_value());
+  std::map<std::string, bool> told;
+  for (const auto& each : *changes) told[each.name] = each.deleted;
+  CHECK(told ==
+        std::map<std::string, bool>{{"b", false}, {"c", true}, {"d", false}});
+}
+
+TEST_CASE("who is a little behind gets changes, others all objects",
+          "[mirror]") {
+  object_mirror mirror = Holding({{"a", false, "1"}}, 10);
+  CHECK_FALSE(mirror.Since(10).has_value());
+  CHECK(mirror.Since(9)->whole);
+  mirror.Apply(Page(10, 11, {{"b", false, "1"}}));
+  mirror.Advance(15);
+  CHECK(mirror.Revision() == 15);
+  mirror.Apply(Page(15, 16, {{"c", false, "1"}}));
+  const auto since = mirror.Since(12);
+  REQUIRE(since.has_value());
+  CHECK_FALSE(since->whole);
+  CHECK(since->from == 12);
+  CHECK(since->to == 16);
+  for (int i = 0; i < 1000; ++i) {
+    mirror.Apply(Page(16 + i, 17 + i, {{"c", false, std::to_string(i)}}));
+  }
+  CHECK(mirror.Since(16)->whole);
+  CHECK_FALSE(mirror.Since(1010)->whole);
+}
+
+TEST_CASE("copies that follow each other agree with the store", "[mirror]") {
+  for (std::uint32_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937 random(seed);
+    std::map<std::string, std::string> store;
+    std::vector<mirror_page> log;
+    std::vector<object_mirror> copies(4, object_mirror(kKind));
+    std::int64_t revision = 100;
+    const auto whole = [&] {
+      mirror_page page = Page(0, revision, {}, true);
+      for (const auto& each : store) {
+        page.objects.push_back({each.first, false, each.second});
+      }
+      return page;
+    };
+    const auto events = [&](std::int64_t from) {
+      mirror_page page = Page(from, revision, {});
+      for (const mirror_page& each : log) {
+        if (each.to > from) page.objects.push_back(each.objects.front());
+      }
+      return page;
+    };
+    for (int step = 0; step < 200; ++step) {
+      const std::string name(1, static_cast<char>('a' + random() % 5));
+      object_mirror& copy = copies[random() % copies.size()];
+      switch (random() % 5) {
+        case 0:
+        case 1: {
+          const bool gone = random() % 3 == 0;
+          const std::string document = std::to_string(random() % 3);
+          ++revision;
+          if (gone) {
+            store.erase(name);
+          } else {
+            store[name] = document;
+          }
+          log.push_back(Page(revision - 1, revision, {{name, gone, document}}));
+          break;
+        }
+        case 2:
+          copy.Apply(whole());
+          break;
+        case 3:
+          if (copy.Complete()) copy.Apply(events(copy.Revision()));
+          break;
+        case 4: {
+          const auto page =
+              copies[random() % copies.size()].Since(copy.Revision());
+          if (page.has_value()) copy.Apply(*page);
+          break;
+        }
+      }
+    }
+    for (object_mirror& each : copies) {
+      if (each.Complete()) each.Apply(events(each.Revision()));
+      if (!each.Complete()) each.Apply(whole());
+      const auto all = each.Since(0);
+      REQUIRE(all.has_value());
+      std::map<std::string, std::string> held;
+      object_mirror fresh(kKind);
+      fresh.Apply(*all);
+      INFO("seed " << seed);
+      CHECK(fresh.Size() == store.size());
+      for (const auto& object : all->objects) {
+        held[object.name] = object.document;
+      }
+      CHECK(held == store);
+    }
+  }
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/tests/unit/source_choice_test.cc
@@ -0,0 +1,268 @@
+#include "coordination/source_choice.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace papayaglade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStep{100};
+constexpr milliseconds kReportPeriod{400};
+// How late news may be when the sources of an instance fail together.
+constexpr milliseconds kNewsBound{2500};
+
+// How long an instance that starts may know nothing.
+constexpr milliseconds kStartBound{1000};
+
+/// Instances that follow each other, in virtual time and without a network.
+class group {
+ public:
+  group(std::size_t instances, std::size_t data_centres) {
+    for (std::size_t i = 0; i < instances; ++i) {
+      const std::string name = "entry-" + std::to_string(i);
+      members_.push_back({name,
+                          "dc-" + std::to_string(i % data_centres),
+                          {"10.0.0.1", static_cast<std::uint16_t>(i + 1)}});
+    }
+    for (const fleet_member& each : members_) Start(each.name);
+  }
+
+  void Start(const std::string& name) {
+    const auto self = std::find_if(
+        members_.begin(), members_.end(),
+        [&](const fleet_member& each) { return each.name == name; });
+    node& started = nodes_[name];
+    started = node();
+    started.choice =
+        std::make_unique<source_choice>(name, self->data_centre, true);
+    started.choice->Start(now_);
+    started.choice->SetMembers(members_);
+    started.uncovered_since = now_;
+  }
+
+  void Kill(const std::string& name) {
+    nodes_[name].up = false;
+    for (auto& each : nodes_) {
+      if (each.second.sources.erase(name) != 0 && each.second.up) {
+        each.second.choice->OnClosed(name, now_);
+      }
+    }
+  }
+
+  void Freeze(const std::string& name, bool frozen) {
+    nodes_[name].frozen = frozen;
+  }
+
+  void CutFromStore(const std::string& name, bool cut) {
+    nodes_[name].store = !cut;
+  }
+
+  void Run(milliseconds duration) {
+    const monotonic_time end = now_ + duration;
+    while (now_ < end) Step();
+  }
+
+  void Step() {
+    now_ += kStep;
+    for (auto& each : nodes_) {
+      node& own = each.second;
+      if (!own.up || own.frozen) continue;
+      own.choice->SetStoreAnswers(own.store || !own.watching, now_);
+      const auto step = own.choice->Next(now_);
+      for (const std::string& closed : step.close) own.sources.erase(closed);
+      for (const fleet_member& dialled : step.dial) {
+        const auto target = nodes_.find(dialled.name);
+        if (target == nodes_.end() || !target->second.up) {
+          own.choice->OnClosed(dialled.name, now_);
+        } else {
+          own.sources.insert(dialled.name);
+        }
+      }
+      own.watching = own.choice->WatchesStore(now_);
+    }
+    for (auto& each : nodes_) Report(each.second);
+    for (auto& each : nodes_) NoteCover(each.second);
+  }
+
+  std::set<std::string> Watching() const {
+    std::set<std::string> result;
+    for (const auto& each : nodes_) {
+      if (each.second.up && each.second.watching) result.insert(each.first);
+    }
+    return result;
+  }
+
+  /// The longest time for which an instance that could reach the store knew
+  /// of no change there.
+  milliseconds LongestUncovered() const { return longest_; }
+  std::size_t Size() const { return members_.size(); }
+
+ private:
+  struct node {
+    std::unique_ptr<source_choice> choice;
+    std::set<std::string> sources;
+    bool up = true;
+    bool frozen = false;
+    bool store = true;
+    bool watching = true;
+    monotonic_time uncovered_since;
+  };
+
+  static source_state StateOf(const node& node) {
+    if (!node.watching) return source_state::kFollowing;
+    return node.store ? source_state::kWatching : source_state::kLost;
+  }
+
+  void Report(node& own) {
+    if (!own.up || own.frozen) return;
+    const bool due = now_.time_since_epoch() % kReportPeriod == milliseconds(0);
+    if (!due) return;
+    for (const std::string& name : own.sources) {
+      const node& source = nodes_[name];
+      if (!source.up || source.frozen) continue;
+      own.choice->OnReport(name, StateOf(source), now_);
+    }
+  }
+
+  bool Covered(const node& own) {
+    if (own.watching && own.store) return true;
+    return std::any_of(own.sources.begin(), own.sources.end(),
+                       [&](const std::string& name) {
+                         const node& source = nodes_[name];
+                         return source.up && !source.frozen &&
+                                StateOf(source) == source_state::kWatching;
+                       });
+  }
+
+  void NoteCover(node& own) {
+    if (!own.up || own.frozen || !own.store || Covered(own)) {
+      own.uncovered_since = now_;
+    }
+    longest_ = std::max(longest_, std::chrono::duration_cast<milliseconds>(
+                                      now_ - own.uncovered_since));
+  }
+
+  std::vector<fleet_member> members_;
+  std::map<std::string, node> nodes_;
+  monotonic_time now_{std::chrono::hours(1)};
+  milliseconds longest_{0};
+};
+
+}  // namespace
+
+TEST_CASE("two instances of each data centre watch the store", "[sources]") {
+  for (const std::size_t data_centres : {1U, 3U, 5U}) {
+    for (const std::size_t instances : {20U, 59U, 77U, 520U}) {
+      group tier(instances, data_centres);
+      tier.Run(milliseconds(8000));
+      INFO(instances << " in " << data_centres);
+      CHECK(tier.Watching().size() == 2 * data_centres);
+      CHECK(tier.LongestUncovered() <= kStartBound);
+    }
+  }
+}
+
+TEST_CASE("another one watches for each that ends, and stops at its return",
+          "[sources]") {
+  group tier(20, 1);
+  tier.Run(milliseconds(8000));
+  const auto before = tier.Watching();
+  const std::string lost = *before.begin();
+  tier.Kill(lost);
+  tier.Run(milliseconds(12000));
+  CHECK(tier.Watching().size() == 2);
+  CHECK(tier.Watching().count(lost) == 0);
+  tier.Start(lost);
+  tier.Run(milliseconds(20000));
+  CHECK(tier.Watching() == before);
+}
+
+// Pattern: both sources of many followers stop at the same moment, without
+// any connection ending.
+TEST_CASE("followers of frozen sources watch the store in time", "[sources]") {
+  group tier(40, 2);
+  tier.Run(milliseconds(8000));
+  for (const std::string& each : tier.Watching()) tier.Freeze(each, true);
+  tier.Run(milliseconds(6000));
+  CHECK(tier.LongestUncovered() <= kNewsBound);
+}
+
+// Pattern: the store turns away those that watch it and serves all others.
+TEST_CASE("followers of sources that lost the store watch it themselves",
+          "[sources]") {
+  group tier(40, 2);
+  tier.Run(milliseconds(8000));
+  for (const std::string& each : tier.Watching()) {
+    tier.CutFromStore(each, true);
+  }
+  tier.Run(milliseconds(6000));
+  CHECK(tier.LongestUncovered() <= kNewsBound);
+}
+
+TEST_CASE("who lost the store finds an instance that has it", "[sources]") {
+  source_choice choice("a", "dc-1", false);
+  const monotonic_time start{std::chrono::hours(1)};
+  choice.SetMembers({{"b", "dc-1", {"10.0.0.1", 1}},
+                     {"c", "dc-2", {"10.0.0.2", 1}},
+                     {"d", "dc-2", {"", 0}}});
+  CHECK(choice.Next(start).dial.empty());
+  choice.SetStoreAnswers(false, start);
+  const auto step = choice.Next(start + milliseconds(400));
+  REQUIRE(step.dial.size() == 2);
+  CHECK(step.dial[0].name == "b");
+  CHECK(step.dial[1].name == "c");
+  choice.OnReport("c", source_state::kWatching, start + milliseconds(500));
+  CHECK(choice.Watching(start + milliseconds(500)) == 1);
+  CHECK(choice.WatchesStore(start + milliseconds(500)));
+  // With the store back nobody else is needed.
+  choice.SetStoreAnswers(true, start + milliseconds(600));
+  CHECK(choice.Next(start + milliseconds(600)).close.size() == 2);
+}
+
+TEST_CASE("an instance that is listed no more is left", "[sources]") {
+  source_choice choice("a", "dc-1", false);
+  const monotonic_time start{std::chrono::hours(1)};
+  choice.SetMembers({{"seed", "", {"10.0.0.1", 1}}});
+  choice.SetStoreAnswers(false, start);
+  REQUIRE(choice.Next(start + milliseconds(400)).dial.size() == 1);
+  choice.SetMembers({{"b", "dc-1", {"10.0.0.1", 1}}});
+  const auto step = choice.Next(start + milliseconds(500));
+  CHECK(step.close == std::vector<std::string>{"seed"});
+  REQUIRE(step.dial.size() == 1);
+  CHECK(step.dial[0].name == "b");
+}
+
+TEST_CASE("news is never late for long, whoever fails", "[sources]") {
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    std::mt19937 random(seed);
+    group tier(24, 3);
+    tier.Run(milliseconds(6000));
+    std::map<std::string, int> troubled;
+    for (int i = 0; i < 60; ++i) {
+      const std::string name =
+          "entry-" + std::to_string(random() % tier.Size());
+      int& trouble = troubled[name];
+      if (trouble == 1) tier.Start(name);
+      if (trouble == 2) tier.Freeze(name, false);
+      if (trouble == 3) tier.CutFromStore(name, false);
+      trouble = trouble != 0 ? 0 : static_cast<int>(1 + random() % 3);
+      if (trouble == 1) tier.Kill(name);
+      if (trouble == 2) tier.Freeze(name, true);
+      if (trouble == 3) tier.CutFromStore(name, true);
+      tier.Run(milliseconds(100 * (random() % 20)));
+    }
+    INFO("seed " << seed);
+    CHECK(tier.LongestUncovered() <= kNewsBound);
+  }
+}
+
+}  // namespace papayaglade
