Ask no upstream when no time is left

Cause: an upstream that gives up at the deadline it was given answers at the very end of the run; the run then asked another one with 0 ms left, which upstreams take for no limit.

Ruled out: the wire codec (it always writes the field).

Change: with less than 5 ms left no upstream is asked. The test failed first (2 attempts at 0, 1 and 4 ms before the end).

--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds kHedgeAgain{15};
 // The part of its time to settle that a request may wait for a connection.
 constexpr double kRoomWaitShare = 0.8;
+// With less an upstream could do nothing, and 0 would tell it of no limit.
+constexpr milliseconds kLeastAttemptTime{5};
 constexpr std::size_t kMostUnreachable = 3;
 // An attempt pending for so many hedge delays makes its upstream suspect.
 constexpr double kSuspectDelays = 1.2;
@@ -209,6 +211,7 @@
 
 bool request_run::TrySend(std::size_t index, monotonic_time now) {
   leg& own = legs_[index];
+  if (end_ - now < kLeastAttemptTime) return false;
   const microseconds delay = policy_.HedgeDelay(*context_.target);
   const upstream_pointer chosen = NextUpstream(own, delay, now);
   const bool repeat = own.sent > 0;
--- a/tests/unit/request_run_test.cc
+++ b/tests/unit/request_run_test.cc
@@ -217,6 +217,26 @@
   CHECK(answer.stamps.size() == kShards - 2);
 }
 
+// The pattern: an upstream gives up at the very deadline that it was given. A
+// second one would be asked with no time, which counts as without a limit.
+TEST_CASE("nobody is asked when no time is left", "[run]") {
+  for (const int early_ms : {0, 1, 4}) {
+    deployment tier;
+    recording_port port;
+    request_run run = tier.Run("pull-once", port, milliseconds(1010));
+    run.Start(kStart);
+    Advance(run, kStart + milliseconds(990));
+    REQUIRE(port.sent.size() == 1);
+    run.OnResult(1, Ended(attempt_end::kFailedAnswer),
+                 kStart + milliseconds(1000 - early_ms));
+    Advance(run, kStart + milliseconds(1000));
+    INFO(early_ms << " ms before the end");
+    CHECK(port.sent.size() == 1);
+    REQUIRE(port.answers.size() == 1);
+    CHECK(std::holds_alternative<relayed_answer>(port.answers.front()));
+  }
+}
+
 TEST_CASE("below its coverage a fan-out waits on, and takes what comes late",
           "[run]") {
   deployment tier;
