Hedge late where few repeats are allowed

Change: an instance hedges early while half of its repeats and at least four are left; else only at 0.45 of the latency target, when a second answer still comes in time.

--- a/src/coordination/attempt_policy.cc
+++ b/src/coordination/attempt_policy.cc
@@ -33,6 +33,11 @@
   return budgets_[service].TrySpend(limits_, instances_, now);
 }
 
+bool attempt_policy::HasPlentyRepeats(const std::string& service,
+                                      monotonic_time now) {
+  return budgets_[service].HasPlenty(limits_, instances_, now);
+}
+
 void attempt_policy::Observe(const route& route,
                              std::chrono::microseconds latency) {
   latencies& own = Of(route);
@@ -45,13 +50,17 @@
 }
 
 std::chrono::microseconds attempt_policy::HedgeDelay(const route& route) {
-  const std::chrono::microseconds latest(static_cast<std::int64_t>(
-      kLatestHedgeShare * static_cast<double>(TargetOf(route).count())));
+  const std::chrono::microseconds latest = LatestHedgeDelay(route);
   const std::chrono::microseconds learnt = Of(route).late.Estimate();
   return std::max<std::chrono::microseconds>(kLeastHedgeDelay,
                                              std::min(learnt, latest));
 }
 
+std::chrono::microseconds attempt_policy::LatestHedgeDelay(const route& route) {
+  return std::chrono::microseconds(static_cast<std::int64_t>(
+      kLatestHedgeShare * static_cast<double>(TargetOf(route).count())));
+}
+
 const std::string& attempt_policy::NextService(const route& route,
                                                const weighted_target& target) {
   std::vector<weighted_turn>& turns = turns_[route.name];
--- a/src/coordination/attempt_policy.h
+++ b/src/coordination/attempt_policy.h
@@ -28,12 +28,18 @@
   void CountRequest(const std::string& service, monotonic_time now);
   bool TryRepeat(const std::string& service, monotonic_time now);
 
+  /// Whether repeats to the service are far from their bound.
+  bool HasPlentyRepeats(const std::string& service, monotonic_time now);
+
   /// An upstream answered an attempt for `route`.
   void Observe(const route& route, std::chrono::microseconds latency);
   /// What half of the attempts take.
   std::chrono::microseconds Usual(const route& route);
   /// After which a second upstream is asked.
   std::chrono::microseconds HedgeDelay(const route& route);
+  /// The same when repeats are scarce: as late as a second answer still comes
+  /// in time.
+  static std::chrono::microseconds LatestHedgeDelay(const route& route);
 
   /// The service for the next request of a weighted route: each gets its
   /// share in any run of requests.
--- a/src/coordination/repeat_budget.cc
+++ b/src/coordination/repeat_budget.cc
@@ -9,6 +9,9 @@
 // Slices are counted whole while windows slide, and requests arrive at an
 // upstream a little after they are counted here.
 constexpr double kSafeShare = 0.85;
+// With less left, repeats are kept for what would be late without one.
+constexpr double kPlentyShare = 0.5;
+constexpr double kPlentyRepeats = 4;
 
 }  // namespace
 
@@ -24,27 +27,40 @@
   ++SliceAt(slice_length_, now).requests;
 }
 
-bool repeat_budget::TrySpend(const repeat_limits& limits, std::size_t instances,
-                             monotonic_time now) {
+repeat_budget::usage repeat_budget::UsageAt(const repeat_limits& limits,
+                                            std::size_t instances,
+                                            monotonic_time now) {
   slice_length_ =
       std::chrono::duration_cast<std::chrono::milliseconds>(limits.window) /
       kSlices;
-  slice& current = SliceAt(slice_length_, now);
+  const slice& current = SliceAt(slice_length_, now);
   double requests = 0;
-  double repeats = 0;
+  usage result;
   for (const slice& each : slices_) {
     if (each.number < 0) continue;
     const std::int64_t age = current.number - each.number;
     if (age > static_cast<std::int64_t>(kSlices)) continue;
     requests += each.requests;
-    repeats += each.repeats;
+    result.repeats += each.repeats;
   }
   const double extra =
       limits.extra / static_cast<double>(std::max<std::size_t>(1, instances));
-  if (repeats + 1 > kSafeShare * (limits.ratio * requests + extra)) {
-    return false;
-  }
-  ++current.repeats;
+  result.allowed = kSafeShare * (limits.ratio * requests + extra);
+  return result;
+}
+
+bool repeat_budget::HasPlenty(const repeat_limits& limits,
+                              std::size_t instances, monotonic_time now) {
+  const usage used = UsageAt(limits, instances, now);
+  const double left = used.allowed - used.repeats;
+  return left >= std::max(kPlentyRepeats, kPlentyShare * used.allowed);
+}
+
+bool repeat_budget::TrySpend(const repeat_limits& limits, std::size_t instances,
+                             monotonic_time now) {
+  const usage used = UsageAt(limits, instances, now);
+  if (used.repeats + 1 > used.allowed) return false;
+  ++SliceAt(slice_length_, now).repeats;
   return true;
 }
 
--- a/src/coordination/repeat_budget.h
+++ b/src/coordination/repeat_budget.h
@@ -17,6 +17,10 @@
  public:
   void CountRequest(monotonic_time now);
 
+  /// Whether repeats are far from their bound.
+  bool HasPlenty(const repeat_limits& limits, std::size_t instances,
+                 monotonic_time now);
+
   /// Counts a repeat if one more is allowed. `instances` share the extra.
   bool TrySpend(const repeat_limits& limits, std::size_t instances,
                 monotonic_time now);
@@ -29,6 +33,13 @@
     std::uint32_t repeats = 0;
   };
 
+  struct usage {
+    double allowed = 0;
+    double repeats = 0;
+  };
+
+  usage UsageAt(const repeat_limits& limits, std::size_t instances,
+                monotonic_time now);
   slice& SliceAt(std::chrono::milliseconds length, monotonic_time now);
 
   std::chrono::milliseconds slice_length_{500};
--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -229,6 +229,7 @@
   ++own.sent;
   ++own.possible_runs;
   own.hedge_at = now + delay;
+  own.latest_hedge = now + attempt_policy::LatestHedgeDelay(*context_.target);
   const std::uint64_t number = ++last_number_;
   leg_of_.push_back(index);
   own.in_flight.push_back(number);
@@ -243,6 +244,10 @@
   if (!target.idempotent || own.hedged || own.sent >= target.max_attempts) {
     return;
   }
+  if (now < own.latest_hedge && !policy_.HasPlentyRepeats(own.service, now)) {
+    own.hedge_at = own.latest_hedge;
+    return;
+  }
   if (TrySend(index, now)) {
     own.hedged = true;
     ++hedges_;
--- a/src/coordination/request_run.h
+++ b/src/coordination/request_run.h
@@ -91,6 +91,7 @@
     std::size_t unreachable = 0;           ///< Attempts that reached none.
     std::size_t possible_runs = 0;         ///< Attempts that may have run.
     monotonic_time hedge_at;
+    monotonic_time latest_hedge;  ///< When repeats are scarce.
     bool hedged = false;
     upstream_pointer last;      ///< The upstream asked last.
     bool last_refused = false;  ///< It would not run the request.
