Remember slow upstreams until they would be asked again

Cause: what an instance learns of an upstream faded within 1.5 s.

Change: the memory lasts for three of the instance's own requests to the service, 1.5 to 6 s; a pause of the callers counts as 2 s at most.

--- a/src/coordination/observed_health.cc
+++ b/src/coordination/observed_health.cc
@@ -10,8 +10,6 @@
 constexpr double kSlownessWeight = 0.3;  // Of the newest sample.
 constexpr double kFailureWeight = 0.25;
 constexpr double kMostSlowness = 20;
-// Without samples an upstream is tried again after some such times.
-constexpr std::chrono::duration<double> kFadeTime{1.5};
 constexpr std::chrono::milliseconds kFirstBlock{200};
 constexpr std::chrono::milliseconds kLongestBlock{1500};
 
@@ -66,12 +64,12 @@
 
 double observed_health::Slowness(monotonic_time now) const {
   const std::chrono::duration<double> age = now - sampled_;
-  return 1 + (slowness_ - 1) * std::exp(-(age / kFadeTime));
+  return 1 + (slowness_ - 1) * std::exp(-(age / memory_));
 }
 
 double observed_health::FailureShare(monotonic_time now) const {
   const std::chrono::duration<double> age = now - sampled_;
-  return failures_ * std::exp(-(age / kFadeTime));
+  return failures_ * std::exp(-(age / memory_));
 }
 
 std::chrono::microseconds observed_health::OldestPending(
--- a/src/coordination/observed_health.h
+++ b/src/coordination/observed_health.h
@@ -13,6 +13,8 @@
 /// of its kind, how often it fails, and what it has not answered yet.
 class observed_health {
  public:
+  static constexpr std::chrono::milliseconds kLeastMemory{1500};
+
   /// An attempt was sent, and is overdue after `patience`; returns the mark to
   /// end it with.
   monotonic_time BeginAttempt(monotonic_time now,
@@ -49,6 +51,8 @@
   std::size_t Pending() const { return pending_.size(); }
   /// Whether an attempt is overdue.
   bool Overdue(monotonic_time now) const;
+  /// Slowness and failures fade within some such times without samples.
+  void SetMemory(std::chrono::duration<double> memory) { memory_ = memory; }
   /// What kept this instance from asking has passed.
   void Unblock() { blocked_until_ = {}; }
 
@@ -62,6 +66,7 @@
   void Block(monotonic_time now);
 
   std::vector<pending_attempt> pending_;
+  std::chrono::duration<double> memory_{kLeastMemory};
   double slowness_ = 1;
   double failures_ = 0;
   monotonic_time sampled_;
--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -27,6 +27,9 @@
 // An upstream that this instance does not keep connections to.
 constexpr double kNotKept = 30;
 constexpr double kTieMargin = 1.02;
+constexpr double kGapWeight = 0.2;  // Of the newest one.
+constexpr double kMemoryRequests = 3;
+constexpr std::chrono::seconds kLongestMemory{6};
 constexpr std::chrono::seconds kWarmupWindow{1};
 constexpr double kWarmupSafeShare = 0.7;
 constexpr std::chrono::milliseconds kLeastWait{50};
@@ -71,7 +74,7 @@
   upstream_pointer& known = upstreams_[record.id];
   if (known == nullptr) {
     known = std::make_shared<known_upstream>();
-    auto& siblings = services_[record.service];
+    auto& siblings = services_[record.service].upstreams;
     // In the order of ids, so that all instances number them alike.
     const auto place = std::find_if(siblings.begin(), siblings.end(),
                                     [&](const upstream_pointer& each) {
@@ -96,7 +99,7 @@
 void upstream_directory::Forget(const std::string& id) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return;
-  auto& siblings = services_[found->second->record.service];
+  auto& siblings = services_[found->second->record.service].upstreams;
   siblings.erase(std::remove(siblings.begin(), siblings.end(), found->second),
                  siblings.end());
   if (siblings.empty()) services_.erase(found->second->record.service);
@@ -132,12 +135,34 @@
                                             monotonic_time now) {
   const std::vector<upstream_pointer>& candidates = Of(*query.service);
   if (candidates.empty()) return nullptr;
+  if (query.excluded->empty()) NoteRequest(*query.service, now);
   const connection_share share = ConnectionShare(*query.service);
   upstream_pointer best = Best(candidates, query, share.usual, now);
   if (best != nullptr || share.most == share.usual) return best;
   return Best(candidates, query, share.most, now);
 }
 
+// An instance that asks a service seldom would else forget what it learnt
+// before it asks again.
+void upstream_directory::NoteRequest(const std::string& service,
+                                     monotonic_time now) {
+  service_group& group = services_[service];
+  if (group.last_request.has_value()) {
+    // A pause of the callers tells little of how often they ask.
+    const auto gap = std::min<std::chrono::duration<double>>(
+        now - *group.last_request, kLongestMemory / kMemoryRequests);
+    group.gap += kGapWeight * (gap - group.gap);
+  }
+  group.last_request = now;
+  const std::chrono::duration<double> memory =
+      std::clamp<std::chrono::duration<double>>(kMemoryRequests * group.gap,
+                                                observed_health::kLeastMemory,
+                                                kLongestMemory);
+  for (const upstream_pointer& each : group.upstreams) {
+    each->health.SetMemory(memory);
+  }
+}
+
 upstream_pointer upstream_directory::Best(
     const std::vector<upstream_pointer>& candidates,
     const upstream_query& query, std::size_t most_pending, monotonic_time now) {
@@ -276,7 +301,7 @@
     const std::string& service) const {
   static const std::vector<upstream_pointer> none;
   const auto found = services_.find(service);
-  return found == services_.end() ? none : found->second;
+  return found == services_.end() ? none : found->second.upstreams;
 }
 
 const service_limits* upstream_directory::LimitsOf(
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -110,6 +110,12 @@
   }
 
  private:
+  struct service_group {
+    std::vector<upstream_pointer> upstreams;  ///< In the order of ids.
+    std::optional<monotonic_time> last_request;
+    std::chrono::duration<double> gap{0};  ///< Usual time between requests.
+  };
+
   bool MayAsk(const known_upstream& upstream, monotonic_time now) const;
   /// MayAsk, and it is not blocked.
   bool IsUsable(const known_upstream& upstream, monotonic_time now) const;
@@ -117,6 +123,8 @@
   const std::vector<upstream_pointer>& Of(const std::string& service) const;
   /// Null when the configuration does not name the service.
   const service_limits* LimitsOf(const std::string& service) const;
+  /// What is learnt of the service's upstreams lasts for some requests.
+  void NoteRequest(const std::string& service, monotonic_time now);
   upstream_pointer Best(const std::vector<upstream_pointer>& candidates,
                         const upstream_query& query, std::size_t most_pending,
                         monotonic_time now);
@@ -140,7 +148,7 @@
   std::set<std::string> cut_;
   fleet_position fleet_;
   std::map<std::string, upstream_pointer> upstreams_;
-  std::map<std::string, std::vector<upstream_pointer>> services_;
+  std::map<std::string, service_group> services_;
   std::uint64_t turn_ = 0;
 };
 
--- a/tests/unit/fanout_load_test.cc
+++ b/tests/unit/fanout_load_test.cc
@@ -47,6 +47,13 @@
   CHECK(outcome.in_time >= 0.95);
 }
 
+TEST_CASE("a slow upstream is remembered until it would be asked again",
+          "[load]") {
+  const mean_outcome outcome = Mean(TierOf(60));
+  CHECK(outcome.in_time >= 0.99);
+  CHECK(outcome.coverage >= 0.99);
+}
+
 TEST_CASE("with plenty of repeats slow upstreams cost no answer its time",
           "[load]") {
   const mean_outcome outcome = Mean(TierOf(6));
--- a/tests/unit/upstream_directory_test.cc
+++ b/tests/unit/upstream_directory_test.cc
@@ -96,6 +96,28 @@
   CHECK(ChosenBy(directory, kStart + seconds(10)) == "a");
 }
 
+// Pattern: an instance of many asks each service once in 1.5 s.
+TEST_CASE("an instance that asks seldom remembers for some requests",
+          "[directory]") {
+  const auto asked_again = [](milliseconds between) {
+    upstream_directory directory = Directory();
+    monotonic_time now = kStart;
+    for (int i = 0; i < 20; ++i) ChosenBy(directory, now += between);
+    observed_health& health = Known(directory, "a").health;
+    for (int i = 0; i < 3; ++i) {
+      health.Answered(health.BeginAttempt(now, seconds(1)), milliseconds(10),
+                      now + milliseconds(100));
+    }
+    const monotonic_time slow = now + milliseconds(100);
+    for (now = slow; ChosenBy(directory, now) != "a"; now += between) {
+    }
+    return now - slow;
+  };
+  CHECK(asked_again(milliseconds(1500)) >= 3 * milliseconds(1500));
+  CHECK(asked_again(milliseconds(1500)) <= seconds(20));
+  CHECK(asked_again(milliseconds(100)) <= seconds(5));
+}
+
 TEST_CASE("an upstream that cannot be reached is left alone for a while",
           "[directory]") {
   upstream_directory directory = Directory();
