Pass lists on as differences, and follow the larger instances

Cause: after platform_compact a source of 28 followers got a new list and sent all of it to each, encoded 28 times: 2.8 MB over 20 Mbit/s.

Ruled out: sending what changed against the source's own copy without a check: a copy between the two revisions would keep a wrong object for good (found by the seeded test of copies, before this).

Change: a list is passed on as a difference that names the digest of the copy it applies to; who has another copy asks for what it lacks. A message is encoded once for all followers.

Also: the soak stands relays before callers, other instances and the store (delays, resets, one-way cuts, silence), starts instances in outages of the store, has a route that allows one upstream and counts upstreams per request.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -67,7 +67,8 @@
                  },
                  [this](const auto& members) { registry_.Learn(members); }}),
         registry_(loop_, format, log_, settings.store,
-                  {settings.name, settings.data_centre, settings.control},
+                  {settings.name, settings.data_centre, settings.control,
+                   settings.cores},
                   [this](const fleet_position& fleet,
                          const std::vector<fleet_member>& members) {
                     directory_.SetFleet(fleet);
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -89,10 +89,10 @@
 store_feed::handlers store_mirror::HandlersOf(std::size_t kind) {
   store_feed::handlers result;
   result.on_list = [this, kind](const store_page& page) {
-    OnStorePage(kind, true, 0, page);
+    OnStorePage(kind, page_content::kWhole, 0, page);
   };
   result.on_events = [this, kind](std::int64_t from, const store_page& page) {
-    OnStorePage(kind, false, from, page);
+    OnStorePage(kind, page_content::kChanges, from, page);
   };
   result.on_lost = [this] { OnStoreLost(); };
   result.on_answer = [this, kind] {
@@ -110,7 +110,7 @@
   for (const std::string& each : seeds_) {
     const auto address = ParseEndpoint(each);
     if (address.has_value() && *address != control_) {
-      seeds.push_back({each, "", *address});
+      seeds.push_back({each, "", *address, 0});
     }
   }
   choice_.SetSeeds(seeds);
@@ -145,11 +145,11 @@
   return calls;
 }
 
-void store_mirror::OnStorePage(std::size_t kind, bool whole, std::int64_t from,
-                               const store_page& page) {
+void store_mirror::OnStorePage(std::size_t kind, page_content content,
+                               std::int64_t from, const store_page& page) {
   mirror_page mirrored;
   mirrored.kind = kMirroredKinds[kind];
-  mirrored.whole = whole;
+  mirrored.content = content;
   mirrored.from = from;
   mirrored.to = page.revision;
   mirrored.objects.reserve(page.objects.size());
@@ -159,14 +159,18 @@
   Take(kind, mirrored);
 }
 
-void store_mirror::Take(std::size_t kind, const mirror_page& page) {
+bool store_mirror::Take(std::size_t kind, const mirror_page& page) {
   mirrored_kind& own = kinds_[kind];
   const bool complete = own.objects.Complete();
+  const std::uint64_t before = own.objects.Digest();
   const auto changes = own.objects.Apply(page);
-  if (!changes.has_value()) return;
+  if (!changes.has_value()) return false;
   own.feed.SkipTo(page.to);
-  if (page.whole || !page.objects.empty()) {
-    for (const auto& each : followers_) links_.Send(each.first, page);
+  if (complete && page.content == page_content::kWhole) {
+    // Most copies are as this one was, and the list may be long.
+    links_.Send(FollowerLinks(), own.objects.Difference(before, *changes));
+  } else if (!complete || !page.objects.empty()) {
+    links_.Send(FollowerLinks(), page);
   }
   if (!changes->empty()) {
     std::vector<stored_object> objects;
@@ -177,6 +181,14 @@
     handlers_.on_changes(kMirroredKinds[kind], objects);
   }
   if (!complete) Review(loop_context::Now());
+  return true;
+}
+
+std::vector<mirror_links::id> store_mirror::FollowerLinks() const {
+  std::vector<mirror_links::id> links;
+  links.reserve(followers_.size());
+  for (const auto& each : followers_) links.push_back(each.first);
+  return links;
 }
 
 void store_mirror::OnStoreLost() {
@@ -253,7 +265,7 @@
   }
   reported_ = state;
   const source_report report{state, Positions()};
-  for (const auto& each : followers_) links_.Send(each.first, report);
+  links_.Send(FollowerLinks(), report);
 }
 
 bool store_mirror::StoreAnswers(monotonic_time now) const {
@@ -291,7 +303,7 @@
   for (const mirror_position& each : message.positions) {
     const std::size_t kind = IndexOf(each.kind);
     if (kind == kinds_.size()) continue;
-    const auto page = kinds_[kind].objects.Since(each.revision);
+    const auto page = kinds_[kind].objects.Since(each);
     if (page.has_value()) links_.Send(link, *page);
   }
   if (known) return;
@@ -304,7 +316,9 @@
 void store_mirror::Receive(mirror_links::id link, const mirror_page& page) {
   if (sources_.count(link) == 0) return;
   const std::size_t kind = IndexOf(page.kind);
-  if (kind < kinds_.size()) Take(kind, page);
+  if (kind == kinds_.size()) return;
+  const bool newer = page.to > kinds_[kind].objects.Revision();
+  if (!Take(kind, page) && newer) Subscribe(link);
 }
 
 void store_mirror::Receive(mirror_links::id link, const source_report& report) {
@@ -364,9 +378,7 @@
 std::vector<mirror_position> store_mirror::Positions() const {
   std::vector<mirror_position> positions;
   for (const mirrored_kind& each : kinds_) {
-    positions.push_back({each.objects.Kind(), each.objects.Complete()
-                                                  ? each.objects.Revision()
-                                                  : 0});
+    positions.push_back(each.objects.Position());
   }
   return positions;
 }
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -62,9 +62,11 @@
   };
 
   store_feed::handlers HandlersOf(std::size_t kind);
-  void OnStorePage(std::size_t kind, bool whole, std::int64_t from,
+  void OnStorePage(std::size_t kind, page_content content, std::int64_t from,
                    const store_page& page);
-  void Take(std::size_t kind, const mirror_page& page);
+  /// Whether the page fitted and brought something newer.
+  bool Take(std::size_t kind, const mirror_page& page);
+  std::vector<mirror_links::id> FollowerLinks() const;
   void OnStoreLost();
   void ResumeFeeds();
 
--- a/src/coordination/object_mirror.cc
+++ b/src/coordination/object_mirror.cc
@@ -1,6 +1,9 @@
 #include "coordination/object_mirror.h"
 
 #include <map>
+#include <utility>
+
+#include "coordination/rendezvous.h"
 
 namespace papayaglade {
 
@@ -15,22 +18,39 @@
     const mirror_page& page) {
   if (page.kind != kind_) return std::nullopt;
   if (complete_ && page.to <= revision_) return std::nullopt;
-  const bool gap = !complete_ || page.from > revision_;
-  if (!page.whole && gap) return std::nullopt;
+  if (!Fits(page)) return std::nullopt;
   std::vector<mirrored_object> changes = Changes(page);
-  for (const mirrored_object& each : changes) {
-    if (each.deleted) {
-      documents_.erase(each.name);
-    } else {
-      documents_[each.name] = each.document;
-    }
-  }
+  for (const mirrored_object& each : changes) Put(each);
   Keep(page);
   complete_ = true;
   revision_ = page.to;
   return changes;
 }
 
+bool object_mirror::Fits(const mirror_page& page) const {
+  switch (page.content) {
+    case page_content::kWhole:
+      return true;
+    case page_content::kChanges:
+      return complete_ && page.from <= revision_;
+    case page_content::kDifference:
+      return complete_ && page.base == digest_;
+  }
+  return false;
+}
+
+// The digest is a sum, so that it does not depend on the order of changes.
+void object_mirror::Put(const mirrored_object& object) {
+  const auto known = documents_.find(object.name);
+  if (known != documents_.end()) {
+    digest_ -= RendezvousWeight(known->first, known->second);
+    documents_.erase(known);
+  }
+  if (object.deleted) return;
+  documents_[object.name] = object.document;
+  digest_ += RendezvousWeight(object.name, object.document);
+}
+
 // Pages of several origins overlap. An object's older states within a page are
 // left out: applied again, they would undo newer ones for a moment.
 std::vector<mirrored_object> object_mirror::Changes(
@@ -46,7 +66,7 @@
                                 known->second == each.second->document;
     if (!same) changes.push_back(*each.second);
   }
-  if (!page.whole) return changes;
+  if (page.content != page_content::kWhole) return changes;
   for (const auto& each : documents_) {
     if (last.count(each.first) == 0) {
       changes.push_back({each.first, true, ""});
@@ -56,9 +76,9 @@
 }
 
 // As it came: what is no change here may be one to a copy that is between the
-// page's revisions.
+// page's revisions. Only changes can be told to such a copy.
 void object_mirror::Keep(const mirror_page& page) {
-  if (page.whole) {
+  if (page.content != page_content::kChanges) {
     recent_.clear();
     recent_objects_ = 0;
     return;
@@ -84,25 +104,44 @@
   Apply(nothing);
 }
 
-std::optional<mirror_page> object_mirror::Since(std::int64_t revision) const {
-  if (!complete_ || revision >= revision_) return std::nullopt;
-  if (recent_.empty() || revision < recent_.front().from) return Whole();
+std::optional<mirror_page> object_mirror::Since(
+    const mirror_position& position) const {
+  if (!complete_ || position.revision >= revision_) return std::nullopt;
+  const bool first = position.revision == 0;
+  if (!first && position.digest == digest_) return Difference(digest_, {});
+  const std::int64_t from = position.revision;
+  if (recent_.empty() || from < recent_.front().from) return Whole();
   mirror_page page;
   page.kind = kind_;
-  page.from = revision;
+  page.from = from;
   page.to = revision_;
   for (const mirror_page& each : recent_) {
-    if (each.to <= revision) continue;
+    if (each.to <= from) continue;
     page.objects.insert(page.objects.end(), each.objects.begin(),
                         each.objects.end());
   }
   return page;
 }
 
+mirror_page object_mirror::Difference(
+    std::uint64_t base, std::vector<mirrored_object> changes) const {
+  mirror_page page;
+  page.kind = kind_;
+  page.content = page_content::kDifference;
+  page.to = revision_;
+  page.base = base;
+  page.objects = std::move(changes);
+  return page;
+}
+
+mirror_position object_mirror::Position() const {
+  return {kind_, revision_, digest_};
+}
+
 mirror_page object_mirror::Whole() const {
   mirror_page page;
   page.kind = kind_;
-  page.whole = true;
+  page.content = page_content::kWhole;
   page.to = revision_;
   page.objects.reserve(documents_.size());
   for (const auto& each : documents_) {
--- a/src/coordination/object_mirror.h
+++ b/src/coordination/object_mirror.h
@@ -20,15 +20,24 @@
   explicit object_mirror(stored_kind kind) : kind_(kind) {}
 
   /// Takes a page that reaches beyond the known revision; returns what it
-  /// changes here, each object once. A page that begins after the known
-  /// revision has a gap and is refused: nothing is returned.
+  /// changes here, each object once. Nothing is returned for a page that does
+  /// not fit: changes after a gap, or a difference to another copy.
   std::optional<std::vector<mirrored_object>> Apply(const mirror_page& page);
 
   /// Nothing changed up to `revision`.
   void Advance(std::int64_t revision);
 
-  /// What is newer than `revision`; nothing when there is nothing.
-  std::optional<mirror_page> Since(std::int64_t revision) const;
+  /// What a copy at `position` lacks; nothing when that is nothing.
+  std::optional<mirror_page> Since(const mirror_position& position) const;
+
+  /// The same for copies that are as this one was before `changes`: `base` is
+  /// what Digest was then.
+  mirror_page Difference(std::uint64_t base,
+                         std::vector<mirrored_object> changes) const;
+
+  mirror_position Position() const;
+  /// Of all objects, in whatever order they came; 0 of none.
+  std::uint64_t Digest() const { return digest_; }
 
   /// All objects have come once.
   bool Complete() const { return complete_; }
@@ -38,12 +47,15 @@
 
  private:
   mirror_page Whole() const;
+  bool Fits(const mirror_page& page) const;
+  void Put(const mirrored_object& object);
   std::vector<mirrored_object> Changes(const mirror_page& page) const;
   void Keep(const mirror_page& page);
 
   stored_kind kind_;
   bool complete_ = false;
   std::int64_t revision_ = 0;
+  std::uint64_t digest_ = 0;
   std::map<std::string, std::string> documents_;  ///< By name.
   std::deque<mirror_page> recent_;  ///< Each begins where the last one ends.
   std::size_t recent_objects_ = 0;
--- a/src/coordination/source_choice.cc
+++ b/src/coordination/source_choice.cc
@@ -31,6 +31,15 @@
 constexpr milliseconds kLongestStart{800};
 constexpr char kRankKey[] = "watch";
 
+// The larger instances bear the followers more easily.
+bool RanksBefore(const fleet_member& a, const fleet_member& b) {
+  if (a.cores != b.cores) return a.cores > b.cores;
+  const std::uint64_t weight_a = RendezvousWeight(kRankKey, a.name);
+  const std::uint64_t weight_b = RendezvousWeight(kRankKey, b.name);
+  if (weight_a != weight_b) return weight_a > weight_b;
+  return a.name < b.name;
+}
+
 }  // namespace
 
 source_choice::source_choice(std::string name, std::string data_centre,
@@ -56,10 +65,11 @@
 
 void source_choice::SetCandidates(const std::vector<fleet_member>& members) {
   std::vector<candidate> known = std::exchange(candidates_, {});
-  const auto weight = [](const std::string& name) {
-    return RendezvousWeight(kRankKey, name);
-  };
-  const std::uint64_t own = weight(name_);
+  const auto self = std::find_if(
+      members.begin(), members.end(),
+      [&](const fleet_member& each) { return each.name == name_; });
+  fleet_member own{name_, data_centre_, {}, 0};
+  if (self != members.end()) own = *self;
   for (const fleet_member& each : members) {
     if (each.name == name_ || each.control.port == 0) continue;
     const auto found = std::find_if(
@@ -68,7 +78,7 @@
     candidate added = found == known.end() ? candidate() : *found;
     if (added.member.control != each.control) added.retry_at = {};
     added.member = each;
-    added.before = each.data_centre == data_centre_ && weight(each.name) > own;
+    added.before = each.data_centre == data_centre_ && RanksBefore(each, own);
     candidates_.push_back(std::move(added));
   }
   for (const candidate& each : known) {
@@ -85,10 +95,7 @@
               const bool near_a = a.member.data_centre == data_centre_;
               const bool near_b = b.member.data_centre == data_centre_;
               if (near_a != near_b) return near_a;
-              const std::uint64_t weight_a = weight(a.member.name);
-              const std::uint64_t weight_b = weight(b.member.name);
-              if (weight_a != weight_b) return weight_a > weight_b;
-              return a.member.name < b.member.name;
+              return RanksBefore(a.member, b.member);
             });
 }
 
--- a/src/protocol/entry_settings_codec.cc
+++ b/src/protocol/entry_settings_codec.cc
@@ -16,6 +16,7 @@
 constexpr std::int64_t kLongestBoundMs = 600'000;
 constexpr std::int64_t kLongestWindowS = 600;
 constexpr double kMostRatio = 10;
+constexpr double kMostCores = 1024;
 constexpr double kMostExtra = 1'000'000;
 
 endpoint ReadEndpoint(json_reader& reader, const std::string& key) {
@@ -71,6 +72,7 @@
   result.seeds = reader.Strings("seeds");
   result.descriptors = static_cast<std::size_t>(reader.OptionalInteger(
       "descriptors", 1024, kLeastDescriptors, kMostDescriptors));
+  result.cores = reader.OptionalNumber("cores", 0, 0, kMostCores);
   result.repeats = ReadRepeats(reader.Object("repeats"));
   result.warmup = ReadWarmup(reader.Object("warmup"));
   result.bounds = ReadBounds(reader.Object("bounds"));
--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -17,6 +17,7 @@
 
 constexpr char kDataCentre[] = "data_centre";
 constexpr char kControl[] = "control";
+constexpr char kCores[] = "cores";
 
 template <typename Enum>
 Enum DecodeEnum(const json& value, Enum last) {
@@ -32,15 +33,17 @@
   for (const mirror_position& each : positions) {
     out.push_back(static_cast<int>(each.kind));
     out.push_back(each.revision);
+    out.push_back(each.digest);
   }
   return out;
 }
 
 std::vector<mirror_position> DecodePositions(const json& in) {
   std::vector<mirror_position> positions;
-  for (std::size_t i = 0; i < in.size(); i += 2) {
+  for (std::size_t i = 0; i < in.size(); i += 3) {
     positions.push_back({DecodeEnum(in.at(i), stored_kind::kInstances),
-                         in.at(i + 1).get<std::int64_t>()});
+                         in.at(i + 1).get<std::int64_t>(),
+                         in.at(i + 2).get<std::uint64_t>()});
   }
   return positions;
 }
@@ -65,8 +68,9 @@
           json::binary({each.document.begin(), each.document.end()}));
     }
     return json::array({static_cast<int>(message_type::kPage),
-                        static_cast<int>(page.kind), page.whole, page.from,
-                        page.to, std::move(objects)});
+                        static_cast<int>(page.kind),
+                        static_cast<int>(page.content), page.from, page.to,
+                        page.base, std::move(objects)});
   }
 
   json operator()(const source_report& report) const {
@@ -81,6 +85,7 @@
       members.push_back(each.name);
       members.push_back(each.data_centre);
       members.push_back(ControlText(each));
+      members.push_back(each.cores);
     }
     return json::array(
         {static_cast<int>(message_type::kFleet), std::move(members)});
@@ -90,10 +95,11 @@
 mirror_page DecodePage(const json& in) {
   mirror_page page;
   page.kind = DecodeEnum(in.at(1), stored_kind::kInstances);
-  in.at(2).get_to(page.whole);
+  page.content = DecodeEnum(in.at(2), page_content::kDifference);
   in.at(3).get_to(page.from);
   in.at(4).get_to(page.to);
-  const json& objects = in.at(5);
+  in.at(5).get_to(page.base);
+  const json& objects = in.at(6);
   for (std::size_t i = 0; i < objects.size(); i += 3) {
     mirrored_object object;
     objects.at(i).get_to(object.name);
@@ -108,12 +114,13 @@
 fleet_report DecodeFleet(const json& in) {
   fleet_report report;
   const json& members = in.at(1);
-  for (std::size_t i = 0; i < members.size(); i += 3) {
+  for (std::size_t i = 0; i < members.size(); i += 4) {
     fleet_member member;
     members.at(i).get_to(member.name);
     members.at(i + 1).get_to(member.data_centre);
     const auto control = ParseEndpoint(members.at(i + 2).get<std::string>());
     member.control = control.value_or(endpoint());
+    members.at(i + 3).get_to(member.cores);
     report.members.push_back(std::move(member));
   }
   return report;
@@ -173,7 +180,8 @@
   stored_object object;
   object.name = member.name;
   object.content = {{kDataCentre, member.data_centre},
-                    {kControl, ControlText(member)}};
+                    {kControl, ControlText(member)},
+                    {kCores, member.cores}};
   return object;
 }
 
@@ -191,6 +199,10 @@
     const auto address = ParseEndpoint(control->get<std::string>());
     member.control = address.value_or(endpoint());
   }
+  const auto cores = content.find(kCores);
+  if (cores != content.end() && cores->is_number()) {
+    member.cores = cores->get<double>();
+  }
   return member;
 }
 
--- a/src/state/entry_settings.h
+++ b/src/state/entry_settings.h
@@ -41,6 +41,7 @@
   endpoint store;
   std::vector<std::string> seeds;  ///< Control addresses of other instances.
   std::size_t descriptors = 1024;
+  double cores = 0;  ///< Share of processors of this instance; 0: not known.
   repeat_limits repeats;
   warmup_limits warmup;
   change_bounds bounds;
--- a/src/state/mirror_message.h
+++ b/src/state/mirror_message.h
@@ -19,20 +19,29 @@
   std::string document;  ///< Its content, in CBOR.
 };
 
-/// What became of the objects of one kind between two revisions of the store.
+/// What the objects of a page are.
+enum class page_content {
+  kChanges,     ///< All changes after `from`, up to `to`.
+  kWhole,       ///< All objects as of `to`, whatever was known before.
+  kDifference,  ///< What makes the copy of digest `base` that as of `to`.
+};
+
+/// What became of the objects of one kind.
 struct mirror_page {
   stored_kind kind = stored_kind::kConfiguration;
-  /// All objects as of `to`, whatever was known before.
-  bool whole = false;
-  std::int64_t from = 0;  ///< Exclusive; of no meaning when whole.
-  std::int64_t to = 0;
+  page_content content = page_content::kChanges;
+  std::int64_t from = 0;   ///< Exclusive; a revision of the store.
+  std::int64_t to = 0;     ///< A revision of the store.
+  std::uint64_t base = 0;  ///< Digest of a copy.
   std::vector<mirrored_object> objects;  ///< In the order of their changes.
 };
 
-/// Up to which revision an instance knows the objects of one kind.
+/// Up to which revision an instance knows the objects of one kind, and the
+/// digest of its copy.
 struct mirror_position {
   stored_kind kind = stored_kind::kConfiguration;
   std::int64_t revision = 0;
+  std::uint64_t digest = 0;
 };
 
 /// One instance as the store lists it.
@@ -40,6 +49,7 @@
   std::string name;
   std::string data_centre;
   endpoint control;  ///< Other instances call here; port 0: not known.
+  double cores = 0;  ///< Its share of processors; 0: not known.
 };
 
 /// How an instance that others follow gets its state.
--- a/src/transport/mirror_links.cc
+++ b/src/transport/mirror_links.cc
@@ -99,14 +99,13 @@
     return link;
   }
 
-  void Send(id link, const mirror_message& message) {
+  void Send(id link, const std::string& bytes) {
     const auto found = links_.find(link);
     if (found == links_.end()) return;
     const link_state state = found->second;
     if (Buffered(state) > kMostBufferedBytes) {
       return End(link, "it does not read what it is sent");
     }
-    const std::string bytes = EncodeMirrorMessage(message);
     websocketpp::lib::error_code failed;
     constexpr auto kBinary = websocketpp::frame::opcode::binary;
     if (state.dialled) {
@@ -240,8 +239,11 @@
   return implementation_->Dial(address);
 }
 
-void mirror_links::Send(id link, const mirror_message& message) {
-  implementation_->Send(link, message);
+void mirror_links::Send(const std::vector<id>& links,
+                        const mirror_message& message) {
+  if (links.empty()) return;
+  const std::string bytes = EncodeMirrorMessage(message);
+  for (const id each : links) implementation_->Send(each, bytes);
 }
 
 void mirror_links::Close(id link) { implementation_->Close(link); }
--- a/src/transport/mirror_links.h
+++ b/src/transport/mirror_links.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "state/identity.h"
 #include "state/mirror_message.h"
@@ -38,7 +39,9 @@
   /// The handlers tell what becomes of it, never before this returns.
   id Dial(const endpoint& address);
   /// A link that does not take what is sent is closed.
-  void Send(id link, const mirror_message& message);
+  void Send(id link, const mirror_message& message) { Send({{link}}, message); }
+  /// Encodes it once for all.
+  void Send(const std::vector<id>& links, const mirror_message& message);
   /// Without calling the handlers.
   void Close(id link);
 
--- /dev/null
+++ b/tests/soak/instance.py
@@ -0,0 +1,95 @@
+"""One real entry process, what stands before it, and its restarts."""
+
+import asyncio
+import json
+import os
+
+from .http_text import read_message
+from .ports import free_port
+from .relay import Relay
+
+SHUTDOWN_S = 6.0
+
+
+class Instance:
+    def __init__(self, name, zone, soak):
+        self.name = name
+        self.zone = zone
+        self.soak = soak
+        self.ports = {p: free_port() for p in
+                      ("callers", "readiness", "control", "metrics")}
+        self.process = None
+        self.calm_since = 0.0   # no fault on it since
+        self.stopping = False
+        self.killed = False
+        self.frozen = 0
+        self.troubles = 0       # faults on its connections just now
+        path = os.path.join(soak.folder, f"{name}.json")
+        self.path = path
+        # Callers, other instances and the store are reached through these.
+        self.caller_relay = Relay(free_port(), self.ports["callers"])
+        self.control_relay = Relay(free_port(), self.ports["control"])
+        self.store_relay = Relay(free_port(), soak.store_port)
+
+    async def start_relays(self, seeds):
+        settings = {p: f"127.0.0.1:{n}" for p, n in self.ports.items()}
+        settings.update(name=self.name, data_centre=self.zone, region="r",
+                        seeds=seeds,
+                        store=f"127.0.0.1:{self.store_relay.port}",
+                        bounds={"drain_ms": int(self.soak.drain_s * 1000),
+                                "shutdown_s": SHUTDOWN_S})
+        with open(self.path, "w") as file:
+            json.dump(settings, file)
+        for each in self.relays():
+            await each.start()
+
+    def relays(self):
+        return (self.caller_relay, self.control_relay, self.store_relay)
+
+    def disturbed(self):
+        """From now on until calm_since is set again it is not in touch."""
+        self.troubles += 1
+
+    def calmed(self):
+        self.troubles -= 1
+        self.calm_since = self.soak.now()
+
+    def calm_for(self, seconds):
+        return (self.troubles == 0 and not self.stopping and not self.killed
+                and not self.frozen
+                and self.calm_since <= self.soak.now() - seconds)
+
+    async def supervise(self):
+        """Starts the process again whenever it has ended, as a platform does."""
+        while not self.soak.over:
+            await self.run_once()
+            await asyncio.sleep(self.soak.random.uniform(.1, 1))
+
+    async def run_once(self):
+        log = open(os.path.join(self.soak.folder, f"{self.name}.log"), "ab")
+        program = os.path.join(self.soak.build, "papayaglade")
+        self.calm_since = self.soak.now()
+        self.stopping = self.killed = False
+        self.process = await asyncio.create_subprocess_exec(
+            program, "entry", "--settings", self.path, stdout=log, stderr=log)
+        log.close()
+        code = await self.process.wait()
+        expected = self.stopping or self.soak.over
+        if not self.killed and (code != 0 or not expected):
+            self.soak.ledger.violate("a process ends only in order",
+                                     f"{self.name} exit {code}")
+
+    def signal(self, number):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def ready(self):
+        try:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.ports["readiness"])
+            writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+            message = await asyncio.wait_for(read_message(reader), 1)
+            writer.close()
+            return message is not None and " 200 " in message.start
+        except (OSError, asyncio.TimeoutError):
+            return False
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -3,12 +3,17 @@
 from .searcher import RECORD_BYTES, records_of, stamp_of
 
 
+# How many upstreams of a service the routes of the soak allow a request.
+MOST_UPSTREAMS = {"search": 2, "pull": 2, "book": 1, "once": 1}
+
+
 class Ledger:
     def __init__(self, drain_s, closed_s):
         self.drain_s = drain_s
         self.closed_s = closed_s
         self.asked = {}         # attempt -> route kind
         self.runs = {}          # attempt -> searcher ids
+        self.services = {}      # attempt, service -> searcher ids
         self.refused = set()    # attempts that were told "not run"
         self.leaving = {}       # searcher id -> time of the acknowledgement
         self.closed = {}        # zone -> time of the acknowledgement
@@ -41,13 +46,23 @@
         kind = self.asked.get(attempt)
         if kind == "book" and len(runs) > 1:
             self.violate("a booking runs at most once", attempt)
+        self.check_upstreams(attempt, kind, searcher)
         if attempt in self.refused:
             self.violate("a refusal is true", f"{attempt} ran at {searcher.id}")
-        wanted = {"search": "shard", "pull": "archive", "book": "archive"}
+        wanted = {"search": "shard", "pull": "archive", "book": "archive",
+                  "once": "archive"}
         if not searcher.service.startswith(wanted.get(kind, "")):
             self.violate("requests go where their route says",
                          f"{attempt} at {searcher.service}")
 
+    def check_upstreams(self, attempt, kind, searcher):
+        asked = self.services.setdefault((attempt, searcher.service), set())
+        asked.add(searcher.id)
+        counted = {each for each in asked if each not in self.leaving}
+        if len(counted) > MOST_UPSTREAMS.get(kind, 2):
+            self.violate("no more upstreams than the route allows",
+                         f"{attempt} at {sorted(asked)}")
+
     def answered(self, attempt, kind, message, searchers):
         status = int(message.start.split(" ")[1])
         self.count(f"{kind} {status}")
--- /dev/null
+++ b/tests/soak/relay.py
@@ -0,0 +1,78 @@
+"""A loopback proxy whose connections can be delayed, reset, cut or silenced."""
+
+import asyncio
+
+CHUNK_BYTES = 65536
+
+
+class Relay:
+    """Forwards connections to one port, as long as nothing is wrong."""
+
+    def __init__(self, port, target):
+        self.port = port
+        self.target = target
+        self.delay_s = 0.0
+        self.cut = set()        # of "there" and "back": bytes are held up
+        self.open = asyncio.Event()
+        self.open.set()
+        self.pairs = []         # (writer there, writer back), one a connection
+        self.silenced = set()   # connections that went silent for good
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.accept, "127.0.0.1", self.port)
+
+    async def accept(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (far_writer, writer)
+        self.pairs.append(pair)
+        await asyncio.gather(self.copy(reader, far_writer, "there", pair),
+                             self.copy(far_reader, writer, "back", pair))
+        self.pairs.remove(pair)
+        self.silenced.discard(id(pair))
+
+    async def copy(self, reader, writer, way, pair):
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if id(pair) in self.silenced:
+                    continue
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                while way in self.cut:
+                    await self.open.wait()
+                writer.write(data)
+                await writer.drain()
+            if id(pair) not in self.silenced:
+                writer.close()
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            for each in pair:
+                each.transport.abort()
+
+    def reset(self):
+        for pair in list(self.pairs):
+            for each in pair:
+                each.transport.abort()
+
+    def silence(self):
+        """What is open says nothing more; new connections work."""
+        self.silenced.update(id(pair) for pair in self.pairs)
+
+    def cut_off(self, ways):
+        self.cut = set(ways)
+        self.open.clear()
+
+    def mend(self):
+        self.cut = set()
+        self.delay_s = 0.0
+        self.open.set()
+
+    async def stop(self):
+        self.mend()
+        self.server.close()
+        self.reset()
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -16,6 +16,7 @@
         self.outage = None  # None, "busy", "reset" or "silent"
         self.outage_ended = 0.0
         self.oldest = 100
+        self.control_ports = {}  # of instances: where others reach them
 
     async def put(self, kind, name, spec):
         async with self.changed:
@@ -82,9 +83,17 @@
         name = body["meta"]["name"]
         if (kind, name) in self.objects:
             return answer(409, json.dumps(self.objects[kind, name]).encode())
+        if kind == "entries":
+            self.relay_control(body["spec"])
         await self.put(kind, name, body["spec"])
         return answer(200, json.dumps(self.objects[kind, name]).encode())
 
+    def relay_control(self, entry):
+        """Others reach an instance through its relay, as through a network."""
+        address, _, port = entry["control"].rpartition(":")
+        port = self.control_ports.get(int(port), port)
+        entry["control"] = f"{address}:{port}"
+
     def list(self, kind, after, page=7):
         names = sorted(n for k, n in self.objects if k == kind and n > after)
         items = [self.objects[kind, n] for n in names[:page]]
--- a/tests/unit/mirror_codec_test.cc
+++ b/tests/unit/mirror_codec_test.cc
@@ -12,9 +12,10 @@
 
 mirror_page ExamplePage() {
   return {stored_kind::kUpstreams,
-          true,
+          page_content::kDifference,
           7,
           INT64_MAX,
+          UINT64_MAX,
           {{"i-1", false, std::string("\x00\xff", 2)}, {"i-2", true, ""}}};
 }
 
@@ -30,21 +31,24 @@
 TEST_CASE("messages between instances survive their encoding", "[mirror]") {
   const auto page = RoundTrip(ExamplePage());
   CHECK(page.kind == stored_kind::kUpstreams);
-  CHECK(page.whole);
+  CHECK(page.content == page_content::kDifference);
+  CHECK(page.base == UINT64_MAX);
   CHECK(page.from == 7);
   CHECK(page.to == INT64_MAX);
   REQUIRE(page.objects.size() == 2);
   CHECK(page.objects[0].document == std::string("\x00\xff", 2));
   CHECK(page.objects[1].deleted);
   const auto subscription = RoundTrip(
-      mirror_subscription{"a", {{stored_kind::kClosedDataCentres, 12}}});
+      mirror_subscription{"a", {{stored_kind::kClosedDataCentres, 12, 5}}});
   CHECK(subscription.instance == "a");
   CHECK(subscription.positions.at(0).revision == 12);
+  CHECK(subscription.positions.at(0).digest == 5);
   const auto report = RoundTrip(source_report{source_state::kLost, {}});
   CHECK(report.state == source_state::kLost);
   const auto fleet = RoundTrip(fleet_report{
-      {{"a", "kigali", {"10.0.0.1", 80}}, {"b", "huye", endpoint()}}});
+      {{"a", "kigali", {"10.0.0.1", 80}, 0.5}, {"b", "huye", endpoint(), 0}}});
   CHECK(fleet.members.at(0).control == endpoint{"10.0.0.1", 80});
+  CHECK(fleet.members.at(0).cores == 0.5);
   CHECK(fleet.members.at(1).control.port == 0);
 }
 
@@ -59,10 +63,11 @@
 
 TEST_CASE("an instance's entry is read, an older or foreign one in part",
           "[mirror]") {
-  const fleet_member self{"a", "kigali", {"10.0.0.1", 8106}};
+  const fleet_member self{"a", "kigali", {"10.0.0.1", 8106}, 0.25};
   const fleet_member read = DecodeMember(EncodeMember(self));
   CHECK(read.data_centre == "kigali");
   CHECK(read.control == self.control);
+  CHECK(read.cores == 0.25);
   const fleet_member older =
       DecodeMember({"b", false, {{"data_centre", "huye"}}});
   CHECK(older.data_centre == "huye");
--- a/tests/unit/object_mirror_test.cc
+++ b/tests/unit/object_mirror_test.cc
@@ -14,7 +14,8 @@
 
 mirror_page Page(std::int64_t from, std::int64_t to,
                  std::vector<mirrored_object> objects, bool whole = false) {
-  return {kKind, whole, from, to, std::move(objects)};
+  const auto content = whole ? page_content::kWhole : page_content::kChanges;
+  return {kKind, content, from, to, 0, std::move(objects)};
 }
 
 object_mirror Holding(std::vector<mirrored_object> objects, std::int64_t at) {
@@ -82,22 +83,45 @@
 TEST_CASE("who is a little behind gets changes, others all objects",
           "[mirror]") {
   object_mirror mirror = Holding({{"a", false, "1"}}, 10);
-  CHECK_FALSE(mirror.Since(10).has_value());
-  CHECK(mirror.Since(9)->whole);
+  CHECK_FALSE(mirror.Since({kKind, 10, 0}).has_value());
+  CHECK(mirror.Since({kKind, 9, 0})->content == page_content::kWhole);
   mirror.Apply(Page(10, 11, {{"b", false, "1"}}));
   mirror.Advance(15);
   CHECK(mirror.Revision() == 15);
   mirror.Apply(Page(15, 16, {{"c", false, "1"}}));
-  const auto since = mirror.Since(12);
+  const auto since = mirror.Since({kKind, 12, 0});
   REQUIRE(since.has_value());
-  CHECK_FALSE(since->whole);
+  CHECK(since->content == page_content::kChanges);
   CHECK(since->from == 12);
   CHECK(since->to == 16);
   for (int i = 0; i < 1000; ++i) {
     mirror.Apply(Page(16 + i, 17 + i, {{"c", false, std::to_string(i)}}));
   }
-  CHECK(mirror.Since(16)->whole);
-  CHECK_FALSE(mirror.Since(1010)->whole);
+  CHECK(mirror.Since({kKind, 16, 0})->content == page_content::kWhole);
+  CHECK(mirror.Since({kKind, 1010, 0})->content == page_content::kChanges);
+}
+
+TEST_CASE("a difference is taken by a copy of the same objects only",
+          "[mirror]") {
+  object_mirror source = Holding({{"a", false, "1"}, {"b", false, "1"}}, 10);
+  object_mirror same = Holding({{"b", false, "1"}, {"a", false, "1"}}, 13);
+  object_mirror other = Holding({{"a", false, "2"}, {"b", false, "1"}}, 13);
+  CHECK(source.Digest() == same.Digest());
+  const std::uint64_t base = source.Digest();
+  const auto changes =
+      source.Apply(Page(0, 20, {{"a", false, "1"}, {"c", false, "1"}}, true));
+  REQUIRE(changes.has_value());
+  const mirror_page difference = source.Difference(base, *changes);
+  CHECK(difference.objects.size() == 2);
+  CHECK(same.Apply(difference).has_value());
+  CHECK(same.Digest() == source.Digest());
+  CHECK(same.Revision() == 20);
+  CHECK_FALSE(other.Apply(difference).has_value());
+  // Who has the same objects is told of the revision alone.
+  const auto nothing = source.Since({kKind, 15, source.Digest()});
+  REQUIRE(nothing.has_value());
+  CHECK(nothing->objects.empty());
+  CHECK(source.Since(other.Position())->content == page_content::kWhole);
 }
 
 TEST_CASE("copies that follow each other agree with the store", "[mirror]") {
@@ -138,15 +162,21 @@
           log.push_back(Page(revision - 1, revision, {{name, gone, document}}));
           break;
         }
-        case 2:
-          copy.Apply(whole());
+        case 2: {
+          const std::uint64_t base = copy.Digest();
+          const bool complete = copy.Complete();
+          const auto changes = copy.Apply(whole());
+          if (!complete || !changes.has_value()) break;
+          const mirror_page difference = copy.Difference(base, *changes);
+          for (object_mirror& other : copies) other.Apply(difference);
           break;
+        }
         case 3:
           if (copy.Complete()) copy.Apply(events(copy.Revision()));
           break;
         case 4: {
           const auto page =
-              copies[random() % copies.size()].Since(copy.Revision());
+              copies[random() % copies.size()].Since(copy.Position());
           if (page.has_value()) copy.Apply(*page);
           break;
         }
@@ -155,7 +185,7 @@
     for (object_mirror& each : copies) {
       if (each.Complete()) each.Apply(events(each.Revision()));
       if (!each.Complete()) each.Apply(whole());
-      const auto all = each.Since(0);
+      const auto all = each.Since({kKind, 0, 0});
       REQUIRE(all.has_value());
       std::map<std::string, std::string> held;
       object_mirror fresh(kKind);
--- a/tests/unit/source_choice_test.cc
+++ b/tests/unit/source_choice_test.cc
@@ -31,7 +31,8 @@
       const std::string name = "entry-" + std::to_string(i);
       members_.push_back({name,
                           "dc-" + std::to_string(i % data_centres),
-                          {"10.0.0.1", static_cast<std::uint16_t>(i + 1)}});
+                          {"10.0.0.1", static_cast<std::uint16_t>(i + 1)},
+                          i < 4 ? 0.5 : 0.25});
     }
     for (const fleet_member& each : members_) Start(each.name);
   }
@@ -171,6 +172,13 @@
   }
 }
 
+TEST_CASE("the larger instances are those that are followed", "[sources]") {
+  group tier(20, 2);
+  tier.Run(milliseconds(8000));
+  CHECK(tier.Watching() ==
+        std::set<std::string>{"entry-0", "entry-1", "entry-2", "entry-3"});
+}
+
 TEST_CASE("another one watches for each that ends, and stops at its return",
           "[sources]") {
   group tier(20, 1);
@@ -211,9 +219,9 @@
 TEST_CASE("who lost the store finds an instance that has it", "[sources]") {
   source_choice choice("a", "dc-1", false);
   const monotonic_time start{std::chrono::hours(1)};
-  choice.SetMembers({{"b", "dc-1", {"10.0.0.1", 1}},
-                     {"c", "dc-2", {"10.0.0.2", 1}},
-                     {"d", "dc-2", {"", 0}}});
+  choice.SetMembers({{"b", "dc-1", {"10.0.0.1", 1}, 0},
+                     {"c", "dc-2", {"10.0.0.2", 1}, 0},
+                     {"d", "dc-2", {"", 0}, 0}});
   CHECK(choice.Next(start).dial.empty());
   choice.SetStoreAnswers(false, start);
   const auto step = choice.Next(start + milliseconds(400));
@@ -231,10 +239,10 @@
 TEST_CASE("an instance that is listed no more is left", "[sources]") {
   source_choice choice("a", "dc-1", false);
   const monotonic_time start{std::chrono::hours(1)};
-  choice.SetMembers({{"seed", "", {"10.0.0.1", 1}}});
+  choice.SetMembers({{"seed", "", {"10.0.0.1", 1}, 0}});
   choice.SetStoreAnswers(false, start);
   REQUIRE(choice.Next(start + milliseconds(400)).dial.size() == 1);
-  choice.SetMembers({{"b", "dc-1", {"10.0.0.1", 1}}});
+  choice.SetMembers({{"b", "dc-1", {"10.0.0.1", 1}, 0}});
   const auto step = choice.Next(start + milliseconds(500));
   CHECK(step.close == std::vector<std::string>{"seed"});
   REQUIRE(step.dial.size() == 1);
--- a/tests/unit/store_mirror_test.cc
+++ b/tests/unit/store_mirror_test.cc
@@ -43,7 +43,7 @@
   }
 
   fleet_member Member(const std::string& name) const {
-    return {name, "kigali", control};
+    return {name, "kigali", control, 0};
   }
   std::string SeedText() const {
     return control.address + ":" + std::to_string(control.port);
