Keep a fan-out's parts while its other shards wait for room

Ruled out: a third upstream (the route allows two).

Routes to one service refuse at once as before. Two tests failed first. The check "every run ends once" bounded all arrivals of a leg by 3; it bounds what may have run by 3 and arrivals with refusals by 5 now, beside the two upstreams at most: the budget of repeats bounds these arrivals too.

Also: the directory's list replacement goes; a list comes as changes of the copy, and the test takes them from there.

--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -25,6 +25,10 @@
 constexpr double kRoomWaitShare = 0.8;
 // With less an upstream could do nothing, and 0 would tell it of no limit.
 constexpr milliseconds kLeastAttemptTime{5};
+// An upstream without room may have some soon; each time it is left alone for
+// twice as long.
+constexpr std::size_t kMostAskedAgain = 3;
+constexpr milliseconds kFirstAskAgain{8};
 constexpr std::size_t kMostUnreachable = 3;
 // An attempt pending for so many hedge delays makes its upstream suspect.
 constexpr double kSuspectDelays = 1.2;
@@ -118,6 +122,7 @@
     case attempt_end::kNotRun:
     case attempt_end::kOtherUpstream:
       own.last_refused = true;
+      own.ask_again = now + kFirstAskAgain * (1 << own.refusals++);
       --own.possible_runs;
       break;
     case attempt_end::kNotSent:
@@ -190,11 +195,14 @@
 }
 
 // The route bounds how many upstreams are asked, not how often: the last one
-// may be asked once more if its answer was lost.
+// may be asked once more if its answer was lost. In a fan-out one without room
+// is asked some times more: the other parts would be lost with this one, and
+// the caller would ask all shards anew.
 std::size_t request_run::MostAttempts(const leg& leg) const {
   const route& target = *context_.target;
-  const bool again = target.idempotent && !leg.last_refused;
-  return target.max_attempts + (again ? 1 : 0);
+  if (!leg.last_refused)
+    return target.max_attempts + (target.idempotent ? 1 : 0);
+  return target.max_attempts + (fanout_ != nullptr ? kMostAskedAgain : 0);
 }
 
 upstream_pointer request_run::NextUpstream(const leg& leg,
@@ -266,6 +274,8 @@
     return;
   }
   const bool repeat = own.sent > 0;
+  const bool same_again = own.last_refused && own.sent >= target.max_attempts;
+  if (same_again && now < own.ask_again) return;
   if (TrySend(index, now)) {
     if (repeat) ++retries_;
     return;
@@ -283,8 +293,10 @@
   if (!WaitsForRoom(own, now)) Close(own, leg_state::kGivenUp);
 }
 
+// Once parts have come, giving up would throw them away.
 bool request_run::WaitsForRoom(const leg& leg, monotonic_time now) const {
   if (!directory_.HasUsable(leg.service, now)) return false;
+  if (answered_ > 0) return true;
   const std::chrono::duration<double> allowed =
       kRoomWaitShare * (settle_ - context_.arrival);
   return now - context_.arrival < allowed;
--- a/src/coordination/request_run.h
+++ b/src/coordination/request_run.h
@@ -95,6 +95,8 @@
     bool hedged = false;
     upstream_pointer last;      ///< The upstream asked last.
     bool last_refused = false;  ///< It would not run the request.
+    std::size_t refusals = 0;
+    monotonic_time ask_again;  ///< After a refusal, those asked before.
     std::string part;
     std::string stamp;
   };
--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -52,18 +52,6 @@
               kLeaveShare * static_cast<double>(bounds.drain.count()))))),
       warmup_(warmup) {}
 
-void upstream_directory::Replace(const std::vector<upstream_record>& records,
-                                 monotonic_time now) {
-  std::set<std::string> listed;
-  for (const upstream_record& each : records) {
-    listed.insert(each.id);
-    Update(each, now);
-  }
-  for (const auto& each : upstreams_) {
-    if (listed.count(each.first) == 0) StartLeaving(*each.second, now);
-  }
-}
-
 void upstream_directory::Update(const upstream_record& record,
                                 monotonic_time now) {
   const auto found = upstreams_.find(record.id);
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -49,8 +49,6 @@
   upstream_directory(std::string data_centre, const change_bounds& bounds,
                      const warmup_limits& warmup);
 
-  /// Replaces the whole list; who is missing starts to leave.
-  void Replace(const std::vector<upstream_record>& records, monotonic_time now);
   void Update(const upstream_record& record, monotonic_time now);
   void Remove(const std::string& id, monotonic_time now);
   /// Forgets an upstream at once: its address answers for another one.
