--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -64,8 +64,8 @@
       seeds_(settings.seeds),
       handlers_(std::move(handlers)),
       links_(loop, {[this](auto link) { OnOpen(link); },
-                    [this](auto link, mirror_message message) {
-                      OnMessage(link, std::move(message));
+                    [this](auto link, const mirror_message& message) {
+                      OnMessage(link, message);
                     },
                     [this](auto link, const std::string& why) {
                       OnClosed(link, why);
@@ -290,7 +290,8 @@
   links_.Send(link, mirror_subscription{name_, Positions()});
 }
 
-void store_mirror::OnMessage(mirror_links::id link, mirror_message message) {
+void store_mirror::OnMessage(mirror_links::id link,
+                             const mirror_message& message) {
   std::visit([this, link](const auto& each) { Receive(link, each); }, message);
 }
 
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -81,7 +81,7 @@
   source_state State(monotonic_time now) const;
 
   void OnOpen(mirror_links::id link);
-  void OnMessage(mirror_links::id link, mirror_message message);
+  void OnMessage(mirror_links::id link, const mirror_message& message);
   void OnClosed(mirror_links::id link, const std::string& why);
   void Receive(mirror_links::id link, const mirror_subscription& message);
   void Receive(mirror_links::id link, const mirror_page& page);
--- a/src/transport/mirror_links.cc
+++ b/src/transport/mirror_links.cc
@@ -25,10 +25,14 @@
 // Small buffers and short waits: an instance has little memory, and many
 // links to peers that may be gone.
 struct small_server_config : public websocketpp::config::asio {
+  // The library's name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static const std::size_t connection_read_buffer_size = kReadBytes;
 };
 
 struct small_client_config : public websocketpp::config::asio_client {
+  // The library's name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static const std::size_t connection_read_buffer_size = kReadBytes;
 };
 
@@ -166,9 +170,9 @@
     const auto found = ids_.find(handle);
     if (found == ids_.end()) return;
     const id link = found->second;
-    std::optional<mirror_message> message = DecodeMirrorMessage(bytes);
+    const auto message = DecodeMirrorMessage(bytes);
     if (!message.has_value()) return End(link, "unreadable message");
-    if (handlers_.on_message) handlers_.on_message(link, std::move(*message));
+    if (handlers_.on_message) handlers_.on_message(link, *message);
   }
 
   void Lost(const link_handle& handle, const std::string& why) {
--- a/src/transport/mirror_links.h
+++ b/src/transport/mirror_links.h
@@ -21,7 +21,7 @@
 
   struct handlers {
     std::function<void(id)> on_open;
-    std::function<void(id, mirror_message)> on_message;
+    std::function<void(id, const mirror_message&)> on_message;
     /// The link ended, or did not come about; `why` names the remedy's place.
     std::function<void(id, const std::string& why)> on_closed;
   };
@@ -39,7 +39,9 @@
   /// The handlers tell what becomes of it, never before this returns.
   id Dial(const endpoint& address);
   /// A link that does not take what is sent is closed.
-  void Send(id link, const mirror_message& message) { Send({{link}}, message); }
+  void Send(id link, const mirror_message& message) {
+    Send(std::vector<id>{link}, message);
+  }
   /// Encodes it once for all.
   void Send(const std::vector<id>& links, const mirror_message& message);
   /// Without calling the handlers.
--- a/tests/unit/fanout_model.cc
+++ b/tests/unit/fanout_model.cc
@@ -18,7 +18,6 @@
 using std::chrono::milliseconds;
 
 constexpr monotonic_time kStart{std::chrono::hours(1)};
-constexpr milliseconds kSweep{5};
 
 class model;
 
