Let restarted instances watch at once when they are the first

Ruled out: waiting 0.1 s always: the first start then costs 1,200 calls more.

Change: an instance lists the others before it enters itself; when an earlier process of its name is listed, so are the others, and it does not wait. The test failed to hold before (it waited 350 ms).

--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -37,10 +37,8 @@
       self_(std::move(self)),
       on_count_(std::move(on_count)) {}
 
-void instance_registry::Start() {
-  Enter();
-  Count();
-}
+// The first list tells whether an earlier process of this name was entered.
+void instance_registry::Start() { Count(); }
 
 void instance_registry::Leave() {
   leaving_ = true;
@@ -88,6 +86,7 @@
 }
 
 void instance_registry::OnList(const http_exchange_channel::result& result) {
+  if (!std::exchange(entering_, true)) Enter();
   const bool answered =
       !result.failure.has_value() && result.message.result_int() == kOk;
   const auto page = answered ? format_.DecodeList(result.message.body())
@@ -118,10 +117,11 @@
 }
 
 void instance_registry::Tell(bool growing) {
-  members_[self_.name] = self_;
-  const auto place = members_.find(self_.name);
+  const auto place = members_.lower_bound(self_.name);
+  const bool listed = place != members_.end() && place->first == self_.name;
+  const std::size_t count = members_.size() + (listed ? 0 : 1);
   const fleet_position fleet{
-      std::max(members_.size(), growing ? kLeastAtFirst : std::size_t{1}),
+      std::max(count, growing ? kLeastAtFirst : std::size_t{1}),
       static_cast<std::size_t>(std::distance(members_.begin(), place))};
   if (!counted_.has_value() || !(fleet == *counted_)) {
     log_.Write(decision_log::kind::kEvent,
--- a/src/app/instance_registry.h
+++ b/src/app/instance_registry.h
@@ -22,7 +22,7 @@
 /// counted: shares then are smaller than they could be, never larger.
 class instance_registry {
  public:
-  /// The place of this instance among all, and all of them.
+  /// The place of this instance among all, and all that are listed.
   using count_handler = std::function<void(const fleet_position& fleet,
                                            std::vector<fleet_member> members)>;
 
@@ -56,7 +56,8 @@
   std::string after_;
   std::optional<fleet_position> counted_;
   std::size_t counts_ = 0;  ///< Lists that were read.
-  bool replaced_ = false;   ///< An entry of an earlier process.
+  bool entering_ = false;
+  bool replaced_ = false;  ///< An entry of an earlier process.
   bool leaving_ = false;
 };
 
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -70,7 +70,9 @@
                     [this](auto link, const std::string& why) {
                       OnClosed(link, why);
                     }}),
-      choice_(settings.name, settings.data_centre, sharing),
+      choice_({settings.name, settings.data_centre, settings.control,
+               settings.cores},
+              sharing),
       kinds_{
           {{object_mirror(kMirroredKinds[0]),
             store_feed(loop, format, log, settings.store, kMirroredKinds[0],
--- a/src/coordination/source_choice.cc
+++ b/src/coordination/source_choice.cc
@@ -26,7 +26,7 @@
 constexpr milliseconds kBeforeFollowing{2000};
 // A store that lost some calls is not asked after elsewhere.
 constexpr milliseconds kStoreLostFor{300};
-// By then all instances that started together have entered themselves.
+// By then all instances that start for the first time have entered themselves.
 constexpr milliseconds kFirstLook{350};
 constexpr milliseconds kLongestStart{800};
 constexpr char kRankKey[] = "watch";
@@ -42,11 +42,8 @@
 
 }  // namespace
 
-source_choice::source_choice(std::string name, std::string data_centre,
-                             bool sharing)
-    : name_(std::move(name)),
-      data_centre_(std::move(data_centre)),
-      sharing_(sharing) {}
+source_choice::source_choice(fleet_member self, bool sharing)
+    : self_(std::move(self)), sharing_(sharing) {}
 
 void source_choice::Start(monotonic_time now) {
   starting_ = sharing_;
@@ -59,26 +56,26 @@
 }
 
 void source_choice::SetMembers(const std::vector<fleet_member>& members) {
+  const bool listed_self = std::any_of(
+      members.begin(), members.end(),
+      [&](const fleet_member& each) { return each.name == self_.name; });
+  if (!listed_) restarted_ = listed_self;
   listed_ = true;
   SetCandidates(members);
 }
 
 void source_choice::SetCandidates(const std::vector<fleet_member>& members) {
   std::vector<candidate> known = std::exchange(candidates_, {});
-  const auto self = std::find_if(
-      members.begin(), members.end(),
-      [&](const fleet_member& each) { return each.name == name_; });
-  fleet_member own{name_, data_centre_, {}, 0};
-  if (self != members.end()) own = *self;
   for (const fleet_member& each : members) {
-    if (each.name == name_ || each.control.port == 0) continue;
+    if (each.name == self_.name || each.control.port == 0) continue;
     const auto found = std::find_if(
         known.begin(), known.end(),
         [&](const candidate& old) { return old.member.name == each.name; });
     candidate added = found == known.end() ? candidate() : *found;
     if (added.member.control != each.control) added.retry_at = {};
     added.member = each;
-    added.before = each.data_centre == data_centre_ && RanksBefore(each, own);
+    added.before =
+        each.data_centre == self_.data_centre && RanksBefore(each, self_);
     candidates_.push_back(std::move(added));
   }
   for (const candidate& each : known) {
@@ -92,8 +89,8 @@
   }
   std::sort(candidates_.begin(), candidates_.end(),
             [&](const candidate& a, const candidate& b) {
-              const bool near_a = a.member.data_centre == data_centre_;
-              const bool near_b = b.member.data_centre == data_centre_;
+              const bool near_a = a.member.data_centre == self_.data_centre;
+              const bool near_b = b.member.data_centre == self_.data_centre;
               if (near_a != near_b) return near_a;
               return RanksBefore(a.member, b.member);
             });
@@ -192,7 +189,7 @@
 bool source_choice::EndsStart(monotonic_time now) const {
   const auto passed = now - started_;
   if (passed >= kLongestStart || Reliable(now) > 0) return true;
-  if (!listed_ || passed < kFirstLook) return false;
+  if (!listed_ || (!restarted_ && passed < kFirstLook)) return false;
   const auto before =
       std::count_if(candidates_.begin(), candidates_.end(),
                     [](const candidate& each) { return each.before; });
--- a/src/coordination/source_choice.h
+++ b/src/coordination/source_choice.h
@@ -26,14 +26,15 @@
   };
 
   /// `sharing`: whether this instance may do without a watch of its own.
-  source_choice(std::string name, std::string data_centre, bool sharing);
+  source_choice(fleet_member self, bool sharing);
 
   /// Another instance may have all that this one needs: it is asked before
   /// the store is.
   void Start(monotonic_time now);
   /// Addresses to ask as long as no instance is known.
   void SetSeeds(const std::vector<fleet_member>& seeds);
-  /// Instances as the store lists them; some may be gone.
+  /// Instances as the store lists them; some may be gone. This one is among
+  /// them only once it was listed.
   void SetMembers(const std::vector<fleet_member>& members);
   /// Whether the store answers this instance. While it does not, any
   /// instance of any data centre that still reaches it is of use.
@@ -76,13 +77,13 @@
   void Rotate(monotonic_time now, step& result);
   std::size_t Links() const;
 
-  std::string name_;
-  std::string data_centre_;
+  fleet_member self_;
   bool sharing_;
   bool store_answers_ = true;
   bool watches_ = true;
   bool starting_ = false;
-  bool listed_ = false;  ///< Members are known.
+  bool listed_ = false;     ///< Members are known.
+  bool restarted_ = false;  ///< An earlier process of this name was listed.
   monotonic_time started_;
   monotonic_time lost_at_;                        ///< Of the store.
   std::optional<monotonic_time> changing_since_;  ///< Not `watches_` any more.
--- a/tests/unit/source_choice_test.cc
+++ b/tests/unit/source_choice_test.cc
@@ -43,8 +43,7 @@
         [&](const fleet_member& each) { return each.name == name; });
     node& started = nodes_[name];
     started = node();
-    started.choice =
-        std::make_unique<source_choice>(name, self->data_centre, true);
+    started.choice = std::make_unique<source_choice>(*self, true);
     started.choice->Start(now_);
     started.choice->SetMembers(members_);
     started.uncovered_since = now_;
@@ -172,6 +171,27 @@
   }
 }
 
+// Pattern: all instances lost power; the two that are to watch the store need
+// not wait for others to enter themselves.
+TEST_CASE("a restarted instance watches at once when it is among the first",
+          "[sources]") {
+  const monotonic_time start{std::chrono::hours(1)};
+  const fleet_member self{"a", "dc-1", {"10.0.0.1", 1}, 0.5};
+  const fleet_member other{"b", "dc-1", {"10.0.0.2", 1}, 0.25};
+  source_choice restarted(self, true);
+  restarted.Start(start);
+  CHECK_FALSE(restarted.WatchesStore(start));
+  restarted.SetMembers({self, other});
+  CHECK(restarted.WatchesStore(start + milliseconds(10)));
+  source_choice fresh(self, true);
+  fresh.Start(start);
+  fresh.SetMembers({other});
+  CHECK_FALSE(fresh.WatchesStore(start + milliseconds(10)));
+  fresh.SetMembers({self, other});
+  CHECK(fresh.WatchesStore(start + milliseconds(400)));
+  CHECK(fresh.WatchesStore(start + milliseconds(800)));
+}
+
 TEST_CASE("the larger instances are those that are followed", "[sources]") {
   group tier(20, 2);
   tier.Run(milliseconds(8000));
@@ -217,7 +237,7 @@
 }
 
 TEST_CASE("who lost the store finds an instance that has it", "[sources]") {
-  source_choice choice("a", "dc-1", false);
+  source_choice choice({"a", "dc-1", {"10.0.0.9", 1}, 0}, false);
   const monotonic_time start{std::chrono::hours(1)};
   choice.SetMembers({{"b", "dc-1", {"10.0.0.1", 1}, 0},
                      {"c", "dc-2", {"10.0.0.2", 1}, 0},
@@ -237,7 +257,7 @@
 }
 
 TEST_CASE("an instance that is listed no more is left", "[sources]") {
-  source_choice choice("a", "dc-1", false);
+  source_choice choice({"a", "dc-1", {"10.0.0.9", 1}, 0}, false);
   const monotonic_time start{std::chrono::hours(1)};
   choice.SetMembers({{"seed", "", {"10.0.0.1", 1}, 0}});
   choice.SetStoreAnswers(false, start);
