Let one piece set up both kinds of WebSocket links

mirror_links and peer_links each prepared a server and a client end, bound the address, built the dialled address, and chose the end for every send, close and look at the buffer. websocket_ends does that for both; what a link means stays with its owner.

--- a/src/transport/mirror_links.cc
+++ b/src/transport/mirror_links.cc
@@ -2,25 +2,23 @@
 
 #include <map>
 #include <utility>
-#include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
-#include <websocketpp/server.hpp>
 
 #include "protocol/mirror_codec.h"
+#include "transport/websocket_ends.h"
 
 namespace papayaglade {
 
 namespace {
 
-using boost::system::error_code;
 using link_handle = websocketpp::connection_hdl;
 
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::size_t kLargestMessage = 8UL * 1024 * 1024;
 constexpr std::size_t kMostBufferedBytes = 4UL * 1024 * 1024;
 constexpr std::size_t kMostAccepted = 256;
-constexpr long kHandshakeTimeoutMs = 1000;
+constexpr std::chrono::milliseconds kHandshakeTimeout{1000};
 
 // Small buffers and short waits: an instance has little memory, and many
 // links to peers that may be gone.
@@ -36,8 +34,7 @@
   static const std::size_t connection_read_buffer_size = kReadBytes;
 };
 
-using ws_server = websocketpp::server<small_server_config>;
-using ws_client = websocketpp::client<small_client_config>;
+using link_ends = websocket_ends<small_server_config, small_client_config>;
 using message_pointer = small_server_config::message_type::ptr;
 
 }  // namespace
@@ -45,11 +42,11 @@
 class mirror_links::implementation {
  public:
   implementation(loop_context& loop, handlers handlers)
-      : loop_(loop), handlers_(std::move(handlers)) {
-    Prepare(server_);
-    Prepare(client_);
-    server_.set_reuse_addr(true);
-    server_.set_open_handler([this](const link_handle& handle) {
+      : loop_(loop),
+        handlers_(std::move(handlers)),
+        ends_(loop.Io(), kLargestMessage, kHandshakeTimeout) {
+    ends_.ForBoth([this](auto& end) { SetHandlers(end); });
+    ends_.Server().set_open_handler([this](const link_handle& handle) {
       if (links_.size() >= kMostAccepted) return CloseHandle(handle, false);
       const id link = Add(handle, false);
       if (handlers_.on_open) handlers_.on_open(link);
@@ -64,26 +61,16 @@
     }
   }
 
-  std::string Listen(const endpoint& address) {
-    error_code bad_address;
-    const auto ip = boost::asio::ip::make_address(address.address, bad_address);
-    if (bad_address) return "not an IP address: " + address.address;
-    websocketpp::lib::error_code failed;
-    server_.listen(boost::asio::ip::tcp::endpoint(ip, address.port), failed);
-    if (!failed) server_.start_accept(failed);
-    return failed ? failed.message() : std::string();
-  }
+  std::string Listen(const endpoint& address) { return ends_.Listen(address); }
 
   void StopAccepting() {
     websocketpp::lib::error_code ignored;
-    if (server_.is_listening()) server_.stop_listening(ignored);
+    if (ends_.Server().is_listening()) ends_.Server().stop_listening(ignored);
   }
 
   id Dial(const endpoint& address) {
-    const std::string uri =
-        "ws://" + address.address + ":" + std::to_string(address.port) + "/";
     websocketpp::lib::error_code failed;
-    const auto connection = client_.get_connection(uri, failed);
+    const auto connection = ends_.Connection(address, failed);
     if (failed) {
       const id none = ++last_;
       TellClosed(none, failed.message());
@@ -96,10 +83,10 @@
     });
     connection->set_fail_handler([this](const link_handle& handle) {
       websocketpp::lib::error_code none;
-      const auto failed_one = client_.get_con_from_hdl(handle, none);
+      const auto failed_one = ends_.Client().get_con_from_hdl(handle, none);
       Lost(handle, failed_one ? failed_one->get_ec().message() : "failed");
     });
-    client_.connect(connection);
+    ends_.Client().connect(connection);
     return link;
   }
 
@@ -107,16 +94,10 @@
     const auto found = links_.find(link);
     if (found == links_.end()) return;
     const link_state state = found->second;
-    if (Buffered(state) > kMostBufferedBytes) {
+    if (ends_.Buffered(state.handle, state.dialled) > kMostBufferedBytes) {
       return End(link, "it does not read what it is sent");
     }
-    websocketpp::lib::error_code failed;
-    constexpr auto kBinary = websocketpp::frame::opcode::binary;
-    if (state.dialled) {
-      client_.send(state.handle, bytes, kBinary, failed);
-    } else {
-      server_.send(state.handle, bytes, kBinary, failed);
-    }
+    const auto failed = ends_.Send(state.handle, state.dialled, bytes);
     if (failed) End(link, failed.message());
   }
 
@@ -135,22 +116,8 @@
     bool dialled = false;  ///< By this instance; else accepted.
   };
 
-  template <typename Endpoint>
-  void Prepare(Endpoint& end) {
-    end.clear_access_channels(websocketpp::log::alevel::all);
-    end.clear_error_channels(websocketpp::log::elevel::all);
-    end.init_asio(&loop_.Io());
-    end.set_max_message_size(kLargestMessage);
-    end.set_open_handshake_timeout(kHandshakeTimeoutMs);
-    end.set_close_handshake_timeout(kHandshakeTimeoutMs);
-    end.set_tcp_post_init_handler([&end](const link_handle& handle) {
-      websocketpp::lib::error_code ignored;
-      const auto connection = end.get_con_from_hdl(handle, ignored);
-      if (!connection) return;
-      error_code failed;
-      connection->get_raw_socket().set_option(
-          boost::asio::ip::tcp::no_delay(true), failed);
-    });
+  template <typename End>
+  void SetHandlers(End& end) {
     end.set_message_handler(
         [this](const link_handle& handle, const message_pointer& message) {
           OnMessage(handle, message->get_payload());
@@ -197,31 +164,13 @@
                 });
   }
 
-  std::size_t Buffered(const link_state& of) {
-    websocketpp::lib::error_code ignored;
-    if (of.dialled) {
-      const auto connection = client_.get_con_from_hdl(of.handle, ignored);
-      return connection ? connection->get_buffered_amount() : 0;
-    }
-    const auto connection = server_.get_con_from_hdl(of.handle, ignored);
-    return connection ? connection->get_buffered_amount() : 0;
-  }
-
-  // A link that is not open yet is closed once it is, or fails by itself.
   void CloseHandle(const link_handle& handle, bool dialled) {
-    websocketpp::lib::error_code ignored;
-    constexpr auto kWhy = websocketpp::close::status::going_away;
-    if (dialled) {
-      client_.close(handle, kWhy, "", ignored);
-    } else {
-      server_.close(handle, kWhy, "", ignored);
-    }
+    ends_.Close(handle, dialled, websocketpp::close::status::going_away);
   }
 
   loop_context& loop_;
   handlers handlers_;
-  ws_server server_;
-  ws_client client_;
+  link_ends ends_;
   id last_ = 0;
   std::map<id, link_state> links_;
   std::map<link_handle, id, std::owner_less<link_handle>> ids_;
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -9,24 +9,23 @@
 #include <deque>
 #include <map>
 #include <utility>
-#include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
-#include <websocketpp/server.hpp>
 
 #include "protocol/peer_codec.h"
 #include "transport/io_inbox.h"
 #include "transport/io_thread.h"
 #include "transport/peer_delivery.h"
 #include "transport/refusal_check.h"
+#include "transport/websocket_ends.h"
 
 namespace papayaglade {
 
 namespace {
 
 using link_handle = websocketpp::connection_hdl;
-using ws_server = websocketpp::server<websocketpp::config::asio>;
-using ws_client = websocketpp::client<websocketpp::config::asio_client>;
+using link_ends =
+    websocket_ends<websocketpp::config::asio, websocketpp::config::asio_client>;
 using message_pointer = websocketpp::config::asio::message_type::ptr;
 using boost::system::error_code;
 
@@ -35,7 +34,7 @@
 constexpr std::size_t kLargestMessage = 4UL * 1024 * 1024;
 constexpr std::size_t kMostWaitingMessages = 4096;
 constexpr std::size_t kMostLinks = 2048;
-constexpr long kHandshakeTimeoutMs = 1000;
+constexpr std::chrono::milliseconds kHandshakeTimeout{1000};
 constexpr std::chrono::milliseconds kRefusalTimeout{500};
 constexpr std::chrono::milliseconds kLinkCheckPeriod{100};
 // Whoever does not show the key by then is not an instance of the system.
@@ -67,25 +66,16 @@
         thread_("peers"),
         inbox_(thread_.Io(), kInboxCapacity,
                [](const std::function<void()>& job) { job(); }),
-        check_timer_(thread_.Io()) {
-    Prepare(server_);
-    Prepare(client_);
-    server_.set_reuse_addr(true);
-    server_.set_open_handler([this](const link_handle& handle) {
+        check_timer_(thread_.Io()),
+        ends_(thread_.Io(), kLargestMessage, kHandshakeTimeout) {
+    ends_.ForBoth([this](auto& end) { SetHandlers(end); });
+    ends_.Server().set_open_handler([this](const link_handle& handle) {
       if (links_.size() >= kMostLinks) return CloseHandle(handle, false);
       AddLink(handle, false, "");
     });
   }
 
-  std::string Listen(const endpoint& address) {
-    websocketpp::lib::error_code failed;
-    error_code bad_address;
-    const auto ip = boost::asio::ip::make_address(address.address, bad_address);
-    if (bad_address) return "not an IP address: " + address.address;
-    server_.listen(boost::asio::ip::tcp::endpoint(ip, address.port), failed);
-    if (!failed) server_.start_accept(failed);
-    return failed ? failed.message() : std::string();
-  }
+  std::string Listen(const endpoint& address) { return ends_.Listen(address); }
 
   void Start() {
     thread_.Start();
@@ -162,22 +152,8 @@
   };
   using link_map = std::map<link_handle, link, std::owner_less<link_handle>>;
 
-  template <typename Endpoint>
-  void Prepare(Endpoint& end) {
-    end.clear_access_channels(websocketpp::log::alevel::all);
-    end.clear_error_channels(websocketpp::log::elevel::all);
-    end.init_asio(&thread_.Io());
-    end.set_max_message_size(kLargestMessage);
-    end.set_open_handshake_timeout(kHandshakeTimeoutMs);
-    end.set_close_handshake_timeout(kHandshakeTimeoutMs);
-    end.set_tcp_post_init_handler([&end](const link_handle& handle) {
-      websocketpp::lib::error_code ignored;
-      const auto connection = end.get_con_from_hdl(handle, ignored);
-      if (!connection) return;
-      error_code failed;
-      connection->get_raw_socket().set_option(
-          boost::asio::ip::tcp::no_delay(true), failed);
-    });
+  template <typename End>
+  void SetHandlers(End& end) {
     end.set_message_handler(
         [this](const link_handle& handle, const message_pointer& message) {
           OnMessage(handle, message->get_payload());
@@ -194,10 +170,8 @@
       return OnDialFailed({peer, state.incarnation},
                           peer_link_event::link_state::kClosed);
     }
-    const std::string uri = "ws://" + state.address.address + ":" +
-                            std::to_string(state.address.port) + "/";
     websocketpp::lib::error_code failed;
-    const auto connection = client_.get_connection(uri, failed);
+    const auto connection = ends_.Connection(state.address, failed);
     if (failed) {
       return OnDialFailed({peer, state.incarnation},
                           peer_link_event::link_state::kClosed);
@@ -211,7 +185,7 @@
     const dialled_peer dialled{{peer, state.incarnation}, state.address};
     connection->set_fail_handler(
         [this, dialled](const link_handle&) { LearnWhyFailed(dialled); });
-    client_.connect(connection);
+    ends_.Client().connect(connection);
   }
 
   // The library does not pass on why a connection failed, and only a refusal
@@ -320,15 +294,11 @@
   }
 
   void Write(link& to, const std::string& bytes, bool control) {
-    websocketpp::lib::error_code failed;
-    if (Buffered(to) > kMostBufferedBytes) return CloseLink(to.handle);
-    if (to.dialled) {
-      client_.send(to.handle, bytes, websocketpp::frame::opcode::binary,
-                   failed);
-    } else {
-      server_.send(to.handle, bytes, websocketpp::frame::opcode::binary,
-                   failed);
+    if (ends_.Buffered(to.handle, to.dialled) > kMostBufferedBytes) {
+      return CloseLink(to.handle);
     }
+    // A link that cannot send is reported as closed.
+    ends_.Send(to.handle, to.dialled, bytes);
     if (!to.unanswered_since) to.unanswered_since = monotonic_clock::now();
     if (control) {
       ++control_messages_sent_;
@@ -338,16 +308,6 @@
     }
   }
 
-  std::size_t Buffered(const link& of) {
-    websocketpp::lib::error_code ignored;
-    if (of.dialled) {
-      const auto connection = client_.get_con_from_hdl(of.handle, ignored);
-      return connection ? connection->get_buffered_amount() : 0;
-    }
-    const auto connection = server_.get_con_from_hdl(of.handle, ignored);
-    return connection ? connection->get_buffered_amount() : 0;
-  }
-
   void Heard(const link_handle& handle) {
     const auto found = links_.find(handle);
     if (found == links_.end()) return;
@@ -404,13 +364,7 @@
   }
 
   void CloseHandle(const link_handle& handle, bool dialled) {
-    websocketpp::lib::error_code ignored;
-    constexpr auto kWhy = websocketpp::close::status::policy_violation;
-    if (dialled) {
-      client_.close(handle, kWhy, "", ignored);
-    } else {
-      server_.close(handle, kWhy, "", ignored);
-    }
+    ends_.Close(handle, dialled, websocketpp::close::status::policy_violation);
   }
 
   void ScheduleCheck() {
@@ -434,7 +388,7 @@
       if (waited >= kReplaceAfterSilence) {
         silent.push_back(each.first);
       } else if (waited >= kProbeAfterSilence) {
-        Ping(checked);
+        ends_.Ping(checked.handle, checked.dialled);
       }
     }
     for (const link_handle& handle : silent) {
@@ -445,15 +399,6 @@
     }
   }
 
-  void Ping(const link& to) {
-    websocketpp::lib::error_code ignored;
-    if (to.dialled) {
-      client_.ping(to.handle, "", ignored);
-    } else {
-      server_.ping(to.handle, "", ignored);
-    }
-  }
-
   void Report(const std::string& peer, peer_link_event::link_state state) {
     const auto found = peers_.find(peer);
     const std::uint64_t incarnation =
@@ -472,8 +417,7 @@
   io_thread thread_;
   io_inbox<std::function<void()>> inbox_;
   boost::asio::steady_timer check_timer_;
-  ws_server server_;
-  ws_client client_;
+  link_ends ends_;
   link_map links_;
   std::map<std::string, peer_state> peers_;
   std::atomic<std::uint64_t> control_messages_sent_{0};
