Share the CBOR decoding of three codecs; drop what nothing calls

DecodeEnum stood in three codecs, and the guard around decoding an array in two: cbor_message.h has both. Gone, since no code called them: two SetWait, a Kind, two Busy, and the idle handler of http_exchange_channel, which only a test set; that test waits for the same condition now and keeps its assertion. The two removals of an instance's entry are one function, so a failed one is logged in both cases: the second swallowed it. upstream_record says cold_for instead of the platform's word.

--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -42,11 +42,18 @@
 
 void instance_registry::Leave() {
   leaving_ = true;
+  TakeOut();
+}
+
+void instance_registry::TakeOut() {
   Call(format_.DeleteRequest(stored_kind::kInstances, self_.name),
        [this](const http_exchange_channel::result& result) {
-         if (!result.failure.has_value()) return;
-         log_.Write(decision_log::kind::kEvent,
-                    log_line("instance_not_taken_out").With("why", result.why));
+         if (result.failure.has_value()) {
+           log_.Write(
+               decision_log::kind::kEvent,
+               log_line("instance_not_taken_out").With("why", result.why));
+         }
+         Enter();
        });
 }
 
@@ -68,8 +75,7 @@
 // An earlier process of this name was killed, perhaps at another address.
 void instance_registry::OnExists() {
   replaced_ = true;
-  Call(format_.DeleteRequest(stored_kind::kInstances, self_.name),
-       [this](const http_exchange_channel::result&) { Enter(); });
+  TakeOut();
 }
 
 void instance_registry::Learn(const std::vector<fleet_member>& members) {
--- a/src/app/instance_registry.h
+++ b/src/app/instance_registry.h
@@ -38,6 +38,8 @@
  private:
   void Enter();
   void OnExists();
+  /// Then enters the instance again, unless it is leaving.
+  void TakeOut();
   void Count();
   /// `growing`: others are still entering themselves.
   void Tell(bool growing);
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -41,8 +41,6 @@
   /// The state as of `revision` came from elsewhere.
   void SkipTo(std::int64_t revision);
 
-  void SetWait(std::chrono::milliseconds wait) { plan_.SetWait(wait); }
-
   /// Another feed found that the store does not answer: a watch that waits is
   /// given up, since its answer may never come.
   void Suspect();
--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -34,7 +34,6 @@
 
   /// The state as of `revision` came from elsewhere: watches go on from there.
   void SkipTo(std::int64_t revision);
-  void SetWait(std::chrono::milliseconds wait) { wait_ = wait; }
 
   bool Listing() const { return listing_; }
   /// Whether the last call failed.
--- a/src/coordination/object_mirror.h
+++ b/src/coordination/object_mirror.h
@@ -42,7 +42,6 @@
   /// All objects have come once.
   bool Complete() const { return complete_; }
   std::int64_t Revision() const { return revision_; }
-  stored_kind Kind() const { return kind_; }
   std::size_t Size() const { return documents_.size(); }
 
  private:
--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -71,7 +71,7 @@
     siblings.insert(place, known);
   }
   known->record = record;
-  known->warm_at = now + record.warmup_left;
+  known->warm_at = now + record.cold_for;
   if (record.leaving) {
     StartLeaving(*known, now);
   } else {
--- a/src/protocol/control_codec.cc
+++ b/src/protocol/control_codec.cc
@@ -3,6 +3,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "protocol/cbor_message.h"
+
 namespace papayaglade {
 
 namespace {
@@ -101,15 +103,6 @@
 
 // The decoders below throw a std::exception on a wrong shape, type or size.
 
-template <typename Enum>
-Enum DecodeEnum(const json& value, Enum last) {
-  const int number = value.get<int>();
-  if (number < 0 || number > static_cast<int>(last)) {
-    throw std::out_of_range("enumerator");
-  }
-  return static_cast<Enum>(number);
-}
-
 std::string DecodeName(const json& value) {
   auto name = value.get<std::string>();
   if (name.size() > kLongestName) throw std::length_error("name");
--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "protocol/cbor_message.h"
 #include "protocol/entry_settings_codec.h"
 
 namespace papayaglade {
@@ -19,15 +20,6 @@
 constexpr char kControl[] = "control";
 constexpr char kCores[] = "cores";
 
-template <typename Enum>
-Enum DecodeEnum(const json& value, Enum last) {
-  const int number = value.get<int>();
-  if (number < 0 || number > static_cast<int>(last)) {
-    throw std::out_of_range("enumerator");
-  }
-  return static_cast<Enum>(number);
-}
-
 json EncodePositions(const std::vector<mirror_position>& positions) {
   json out = json::array();
   for (const mirror_position& each : positions) {
@@ -145,25 +137,16 @@
 }  // namespace
 
 std::string EncodeMirrorMessage(const mirror_message& message) {
-  std::string bytes;
-  json::to_cbor(std::visit(encoder{}, message), bytes);
-  return bytes;
+  return EncodeCbor(std::visit(encoder{}, message));
 }
 
 std::optional<mirror_message> DecodeMirrorMessage(const std::string& bytes) {
-  try {
-    const json in = json::from_cbor(bytes, true, false);
-    if (!in.is_array() || in.empty()) return std::nullopt;
-    return Decode(in);
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  return DecodeCborArray<std::optional<mirror_message>>(bytes, Decode);
 }
 
 mirrored_object MirroredFrom(const stored_object& object) {
-  mirrored_object result{object.name, object.deleted, ""};
-  if (!object.deleted) json::to_cbor(object.content, result.document);
-  return result;
+  const bool gone = object.deleted;
+  return {object.name, gone, gone ? "" : EncodeCbor(object.content)};
 }
 
 stored_object StoredFrom(const mirrored_object& object) {
--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -1,9 +1,9 @@
 #include "protocol/peer_codec.h"
 
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <utility>
 
+#include "protocol/cbor_message.h"
 #include "protocol/control_codec.h"
 
 namespace papayaglade {
@@ -96,15 +96,6 @@
 
 // The decoders below throw a std::exception on a wrong shape or type.
 
-template <typename Enum>
-Enum DecodeEnum(const json& value, Enum last) {
-  const int number = value.get<int>();
-  if (number < 0 || number > static_cast<int>(last)) {
-    throw std::out_of_range("enumerator");
-  }
-  return static_cast<Enum>(number);
-}
-
 instance_identity DecodeIdentity(const json& name, const json& incarnation) {
   return {name.get<std::string>(), incarnation.get<std::uint64_t>()};
 }
@@ -193,19 +184,11 @@
 }  // namespace
 
 std::string EncodePeerMessage(const peer_message& message) {
-  std::string bytes;
-  json::to_cbor(std::visit(encoder{}, message), bytes);
-  return bytes;
+  return EncodeCbor(std::visit(encoder{}, message));
 }
 
 std::optional<peer_message> DecodePeerMessage(const std::string& bytes) {
-  try {
-    const json in = json::from_cbor(bytes, true, false);
-    if (!in.is_array() || in.empty()) return std::nullopt;
-    return Decode(in);
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  return DecodeCborArray<std::optional<peer_message>>(bytes, Decode);
 }
 
 }  // namespace papayaglade
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -48,7 +48,6 @@
 
   /// Nothing was received since the last answer.
   bool Idle() const;
-  bool Busy() const { return busy_; }
   void Close();
 
  private:
--- a/src/transport/caller_port.cc
+++ b/src/transport/caller_port.cc
@@ -1,6 +1,5 @@
 #include "transport/caller_port.h"
 
-#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <utility>
 #include <vector>
@@ -54,12 +53,6 @@
   acceptor_.close(ignored);
 }
 
-std::size_t caller_port::Busy() const {
-  return static_cast<std::size_t>(
-      std::count_if(connections_.begin(), connections_.end(),
-                    [](const auto& each) { return each->Busy(); }));
-}
-
 caller_limits caller_port::Limits() const { return service_.Limits(); }
 
 void caller_port::OnRequest(const std::shared_ptr<caller_connection>& from,
--- a/src/transport/caller_port.h
+++ b/src/transport/caller_port.h
@@ -33,7 +33,6 @@
   void CloseIdle();
   void StopAccepting();
   std::size_t Connections() const { return connections_.size(); }
-  std::size_t Busy() const;
 
  private:
   caller_limits Limits() const override;
--- a/src/transport/http_exchange_channel.cc
+++ b/src/transport/http_exchange_channel.cc
@@ -44,7 +44,6 @@
   if (closed_) return;
   closed_ = true;
   done_ = nullptr;
-  on_idle_end_ = nullptr;
   if (socket_ != nullptr) socket_->Close();
 }
 
@@ -110,12 +109,7 @@
 }
 
 void http_exchange_channel::OnEnd(error_code failed) {
-  if (!done_) {
-    const idle_handler ended = std::move(on_idle_end_);
-    Close();
-    if (ended) ended();
-    return;
-  }
+  if (!done_) return Close();
   // Without a length, only an orderly end tells that the answer is whole.
   if (!failed && parser_.has_value() && parser_->got_some()) {
     error_code incomplete;
--- a/src/transport/http_exchange_channel.h
+++ b/src/transport/http_exchange_channel.h
@@ -32,16 +32,10 @@
     upstream_message message;
   };
   using exchange_handler = std::function<void(result)>;
-  using idle_handler = std::function<void()>;
 
   http_exchange_channel(loop_context& loop, endpoint target,
                         std::chrono::milliseconds connect_timeout);
 
-  /// `on_closed` tells that the connection ended while no exchange was on.
-  void SetIdleEnd(idle_handler on_closed) {
-    on_idle_end_ = std::move(on_closed);
-  }
-
   /// Connects first if need be. `head`: the answer has no body.
   void Exchange(std::string request, bool head, exchange_handler done);
 
@@ -75,7 +69,6 @@
   std::string unparsed_;
   std::optional<parser> parser_;
   exchange_handler done_;
-  idle_handler on_idle_end_;
   monotonic_time idle_until_;
   monotonic_time last_used_;
   bool head_ = false;
--- a/tests/unit/http_exchange_channel_test.cc
+++ b/tests/unit/http_exchange_channel_test.cc
@@ -10,6 +10,8 @@
 #include <thread>
 #include <vector>
 
+#include "loop_store.h"
+
 namespace papayaglade {
 
 namespace {
@@ -110,11 +112,7 @@
       loop, server.Address(), kConnectTimeout);
   CHECK(Exchange(loop, channel).message.body() == "one");
   // Both answers mostly come in one read; if not, the second closes it.
-  if (channel->Reusable()) {
-    channel->SetIdleEnd([&] { loop.Stop(); });
-    loop.Io().restart();
-    loop.Run();
-  }
+  RunUntil(loop, [&] { return !channel->Reusable(); });
   CHECK_FALSE(channel->Reusable());
   channel->Close();
 }
--- a/tests/unit/platform_store_test.cc
+++ b/tests/unit/platform_store_test.cc
@@ -47,7 +47,7 @@
   CHECK(record->data_centre == "kigali-a");
   CHECK(record->slots == 3);
   CHECK_FALSE(record->leaving);
-  CHECK(record->warmup_left == milliseconds(250));
+  CHECK(record->cold_for == milliseconds(250));
   CHECK(record->started == 1700000000000);
 }
 
--- a/tests/unit/upstream_directory_test.cc
+++ b/tests/unit/upstream_directory_test.cc
@@ -265,7 +265,7 @@
     upstream_directory directory = Directory(kRate);
     directory.SetFleet({kInstances, 0});
     upstream_record cold = Record("a", "kigali");
-    cold.warmup_left = seconds(3);
+    cold.cold_for = seconds(3);
     directory.Forget("b");
     directory.Update(cold, kStart);
     for (int ms = 0; ms < 1000; ++ms) {
