Listen for callers once a configuration is in force

Change: the callers' port is bound at the start and listens after the first configuration was handed to the router and the stewards. Test: 'a bound server refuses connections until it listens'.

--- a/src/app/control_worker.cc
+++ b/src/app/control_worker.cc
@@ -240,6 +240,7 @@
   const bool routed = router_.TryPush(view_update{view});
   const bool stewarded = stewards_.TryPush(view_update{view});
   view_changed_ = !routed || !stewarded;
+  if (!view_changed_ && view_.config != nullptr) readiness_.SetConfigured();
 }
 
 }  // namespace papayaglade
--- a/src/app/readiness.cc
+++ b/src/app/readiness.cc
@@ -8,6 +8,10 @@
   reason_ = ready ? "" : reason;
 }
 
+void readiness::SetConfigured() {
+  if (on_configured_) on_configured_();
+}
+
 void readiness::BeginShutdown() {
   const std::lock_guard<std::mutex> lock(mutex_);
   shutting_down_ = true;
--- a/src/app/readiness.h
+++ b/src/app/readiness.h
@@ -1,8 +1,10 @@
 #ifndef PAPAYAGLADE_APP_READINESS_H_
 #define PAPAYAGLADE_APP_READINESS_H_
 
+#include <functional>
 #include <mutex>
 #include <string>
+#include <utility>
 
 #include "coordination/ports.h"
 
@@ -12,7 +14,14 @@
 /// callers' and operators' ports. Thread-safe.
 class readiness : public readiness_port {
  public:
+  /// Sets the function that SetConfigured calls; set it before the workers
+  /// start.
+  void SetOnConfigured(std::function<void()> on_configured) {
+    on_configured_ = std::move(on_configured);
+  }
+
   void SetReady(bool ready, const std::string& reason) override;
+  void SetConfigured() override;
 
   /// Makes the instance not ready for good; later calls of SetReady have no
   /// effect.
@@ -25,6 +34,7 @@
   mutable std::mutex mutex_;
   std::string reason_ = "starting";
   bool shutting_down_ = false;
+  std::function<void()> on_configured_;
 };
 
 }  // namespace papayaglade
--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -71,12 +71,14 @@
                  }) {}
 
   std::string Start() {
-    std::string failed = callers_.Listen(settings_.callers);
+    std::string failed = callers_.Bind(settings_.callers);
     if (!failed.empty()) return BindFailure("callers", failed);
     failed = peers_.Listen(settings_.peers_listen);
     if (!failed.empty()) return BindFailure("peers", failed);
     failed = operators_.Start();
     if (!failed.empty()) return BindFailure("operators", failed);
+    // A caller that comes before the first configuration could only be refused.
+    readiness_.SetOnConfigured([this] { callers_.StartListening(); });
     timer_.Start();
     upstreams_.Start();
     platform_.Start();
--- a/src/coordination/ports.h
+++ b/src/coordination/ports.h
@@ -50,6 +50,8 @@
   /// `reason` explains to the balancer's operator why the instance is not
   /// ready.
   virtual void SetReady(bool ready, const std::string& reason) = 0;
+  /// Tells that a configuration is in force, so that callers can be served.
+  virtual void SetConfigured() = 0;
 };
 
 }  // namespace papayaglade
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -1,5 +1,7 @@
 #include "transport/http_server.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -38,7 +40,7 @@
         acceptor_(thread_.Io()),
         drain_timer_(thread_.Io()) {}
 
-  std::string Listen(const endpoint& address) {
+  std::string Bind(const endpoint& address) {
     error_code failed;
     const auto ip = asio::ip::make_address(address.address, failed);
     if (failed) return "not an IP address: " + address.address;
@@ -46,17 +48,29 @@
     acceptor_.open(local.protocol(), failed);
     if (!failed) acceptor_.set_option(tcp::acceptor::reuse_address(true));
     if (!failed) acceptor_.bind(local, failed);
-    if (!failed) {
-      acceptor_.listen(tcp::acceptor::max_listen_connections, failed);
-    }
     return failed ? failed.message() : std::string();
   }
 
+  std::string Listen(const endpoint& address) {
+    const std::string failed = Bind(address);
+    return failed.empty() ? ListenOnBound() : failed;
+  }
+
   void Start() {
-    Accept();
+    if (listening_) Accept();
     thread_.Start();
   }
 
+  void StartListening() {
+    asio::post(thread_.Io(), [this] {
+      if (listening_ || draining_) return;
+      const std::string failed = ListenOnBound();
+      if (failed.empty()) return Accept();
+      LOG(ERROR) << "event=listen_failed why=" << failed
+                 << " remedy=free the port or set another one";
+    });
+  }
+
   void Drain(std::chrono::milliseconds min_idle, std::function<void()> done) {
     asio::post(thread_.Io(),
                [this, min_idle, done = std::move(done)]() mutable {
@@ -73,6 +87,14 @@
  private:
   class session;
 
+  // Returns an empty string on success, otherwise the error.
+  std::string ListenOnBound() {
+    error_code failed;
+    acceptor_.listen(tcp::acceptor::max_listen_connections, failed);
+    listening_ = !failed;
+    return failed ? failed.message() : std::string();
+  }
+
   void Accept() {
     acceptor_.async_accept([this](error_code failed, tcp::socket socket) {
       if (failed == asio::error::operation_aborted) return;
@@ -86,6 +108,7 @@
   // Callers whose connections wait in the backlog have not been refused, so
   // these connections are served before the acceptor closes.
   void StopListening() {
+    if (!listening_) return;
     error_code failed;
     acceptor_.cancel(failed);
     acceptor_.non_blocking(true, failed);
@@ -106,6 +129,7 @@
   tcp::acceptor acceptor_;
   asio::steady_timer drain_timer_;
   std::unordered_set<session*> sessions_;
+  bool listening_ = false;
   bool draining_ = false;
   std::chrono::milliseconds drain_min_idle_{0};
   std::function<void()> on_drained_;
@@ -294,8 +318,14 @@
   return implementation_->Listen(address);
 }
 
+std::string http_server::Bind(const endpoint& address) {
+  return implementation_->Bind(address);
+}
+
 void http_server::Start() { implementation_->Start(); }
 
+void http_server::StartListening() { implementation_->StartListening(); }
+
 void http_server::Drain(std::chrono::milliseconds min_idle,
                         std::function<void()> done) {
   implementation_->Drain(min_idle, std::move(done));
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -31,7 +31,14 @@
   /// Binds `address` and listens on it. Returns an empty string on success,
   /// otherwise the error.
   std::string Listen(const endpoint& address);
+  /// Binds `address`; connections to it are refused until StartListening.
+  /// Returns an empty string on success, otherwise the error.
+  std::string Bind(const endpoint& address);
+  /// Starts the server's thread.
   void Start();
+  /// Listens on the bound address. Does nothing if the server listens already
+  /// or drains. May be called from any thread once Start was called.
+  void StartListening();
 
   /// Accepts the connections in the backlog, stops listening, finishes all
   /// requests in progress, and closes kept-alive connections that have been
--- a/tests/unit/http_server_test.cc
+++ b/tests/unit/http_server_test.cc
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 #include <string>
+#include <thread>
 
 #include "transport/http_call.h"
 
@@ -141,4 +142,20 @@
   CHECK_FALSE(Serves(server.Port()));
 }
 
+TEST_CASE("a bound server refuses connections until it listens", "[http]") {
+  http_server server("test", port_limits(), Echo);
+  std::uint16_t port = 28200;
+  while (!server.Bind({"127.0.0.1", port}).empty()) ++port;
+  server.Start();
+  CHECK_FALSE(Serves(port));
+  server.StartListening();
+  server.StartListening();
+  bool serves = false;
+  for (int i = 0; i < 100 && !serves; ++i) {
+    serves = Serves(port);
+    if (!serves) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  CHECK(serves);
+}
+
 }  // namespace papayaglade
