--- a/src/coordination/observed_health.cc
+++ b/src/coordination/observed_health.cc
@@ -9,10 +9,20 @@
 
 constexpr double kSlownessWeight = 0.3;  // Weight of the newest sample.
 constexpr double kFailureWeight = 0.25;
+constexpr double kMinLatencyRatio = 0.2;
 constexpr double kMaxSlowness = 20;
 constexpr std::chrono::milliseconds kInitialBlock{200};
 constexpr std::chrono::milliseconds kMaxBlock{1500};
 
+// Returns how many times the usual latency an attempt has taken.
+double LatencyRatio(monotonic_clock::duration taken,
+                    std::chrono::microseconds usual) {
+  if (usual.count() <= 0) return 1;
+  const double ratio = std::chrono::duration<double>(taken) /
+                       std::chrono::duration<double>(usual);
+  return std::clamp(ratio, kMinLatencyRatio, kMaxSlowness);
+}
+
 }  // namespace
 
 monotonic_time observed_health::BeginAttempt(
@@ -25,10 +35,7 @@
                                    std::chrono::microseconds expected,
                                    monotonic_time now) {
   RemovePending(begun);
-  const double taken = std::chrono::duration<double>(now - begun).count();
-  const double usual = std::chrono::duration<double>(expected).count();
-  const double ratio =
-      usual > 0 ? std::clamp(taken / usual, 0.2, kMaxSlowness) : 1;
+  const double ratio = LatencyRatio(now - begun, expected);
   const double slowness = Slowness(now);
   const double failure_share = FailureShare(now);
   slowness_ = slowness + kSlownessWeight * (ratio - slowness);
@@ -38,6 +45,18 @@
   blocked_until_ = {};
 }
 
+void observed_health::RecordLate(monotonic_time begun,
+                                 std::chrono::microseconds expected,
+                                 monotonic_time now) {
+  RemovePending(begun);
+  const double ratio = LatencyRatio(now - begun, expected);
+  if (ratio <= Slowness(now)) return;
+  // The ratio is a lower bound, so it counts in full.
+  failure_share_ = FailureShare(now);
+  slowness_ = ratio;
+  last_sample_at_ = now;
+}
+
 void observed_health::RecordFailure(monotonic_time begun, monotonic_time now) {
   RemovePending(begun);
   const double slowness = Slowness(now);
--- a/src/coordination/observed_health.h
+++ b/src/coordination/observed_health.h
@@ -25,6 +25,11 @@
   void RecordAnswer(monotonic_time begun, std::chrono::microseconds expected,
                     monotonic_time now);
 
+  /// Records an attempt that was cancelled because it had not been answered in
+  /// time. Its latency would have been longer than it has lasted so far.
+  void RecordLate(monotonic_time begun, std::chrono::microseconds expected,
+                  monotonic_time now);
+
   /// Records an attempt that the upstream failed or refused.
   void RecordFailure(monotonic_time begun, monotonic_time now);
 
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -3,22 +3,29 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/abandoned_attempt.h"
+
 namespace papayaglade {
 
 namespace {
 
 constexpr std::chrono::milliseconds kConnectTimeout{300};
-// An abandoned exchange may continue for this long, so that its connection can
-// be reused and its answer updates the health of the upstream.
-constexpr std::chrono::milliseconds kAbandonedTimeout{300};
 // An upstream counts as silent if it has not answered within this multiple of
 // the usual latency.
 constexpr int kSilenceFactor = 3;
 constexpr std::chrono::milliseconds kMinSilenceTimeout{120};
+// An upstream that is silent for this much longer is blocked for a while.
+constexpr std::chrono::milliseconds kMinBlockedSilence{300};
 // Idle connections to an upstream other than the newest are closed after this
 // time, because all instances share the upstream's connection limit.
 constexpr std::chrono::seconds kMaxSpareIdle{2};
 
+std::chrono::microseconds SilenceTimeout(
+    std::chrono::microseconds usual_latency) {
+  return std::max<std::chrono::microseconds>(kMinSilenceTimeout,
+                                             kSilenceFactor * usual_latency);
+}
+
 }  // namespace
 
 upstream_client::upstream_client(loop_context& loop,
@@ -40,8 +47,7 @@
   started.done = std::move(done);
   started.usual_latency = policy_.MedianLatency(*spec.target);
   started.start_time = spec.upstream->health.BeginAttempt(
-      now, std::max<std::chrono::microseconds>(
-               kMinSilenceTimeout, kSilenceFactor * started.usual_latency));
+      now, SilenceTimeout(started.usual_latency));
   started.fanout = std::holds_alternative<fanout_target>(spec.target->target);
   started.channel = AcquireChannel(spec.upstream);
   directory_.CountSent(*spec.upstream, now);
@@ -62,10 +68,14 @@
 void upstream_client::Abandon(id number) {
   const auto found = exchanges_.find(number);
   if (found == exchanges_.end()) return;
-  found->second.done = nullptr;
-  loop_.ScheduleAfter(kAbandonedTimeout, [this, number](monotonic_time) {
-    OnAbandonedTimeout(number);
-  });
+  exchange& abandoned = found->second;
+  abandoned.done = nullptr;
+  const auto age = std::chrono::duration_cast<std::chrono::microseconds>(
+      loop_context::Now() - abandoned.start_time);
+  const auto timeout = AbandonedAttemptTimeout(age, abandoned.usual_latency);
+  if (timeout.count() == 0) return CancelAbandoned(number);
+  loop_.ScheduleAfter(
+      timeout, [this, number](monotonic_time) { CancelAbandoned(number); });
 }
 
 void upstream_client::CloseUnusedConnections() {
@@ -193,26 +203,26 @@
   upstream_pool.idle.push_back(std::move(channel));
 }
 
-void upstream_client::OnAbandonedTimeout(id number) {
+void upstream_client::CancelAbandoned(id number) {
   const auto found = exchanges_.find(number);
   if (found == exchanges_.end()) return;
-  const exchange& abandoned = found->second;
+  const exchange abandoned = std::move(found->second);
+  exchanges_.erase(found);
+  abandoned.channel->Close();
   const monotonic_time now = loop_context::Now();
+  const auto age = now - abandoned.start_time;
   observed_health& health = abandoned.spec.upstream->health;
-  if (now - abandoned.start_time >
-      kSilenceFactor * abandoned.usual_latency + kAbandonedTimeout) {
-    health.RecordTimeout(abandoned.start_time, now);
+  if (age >= SilenceTimeout(abandoned.usual_latency)) {
     RecordPath(abandoned, false);
-    if (on_silent_) {
-      on_silent_(abandoned.spec.upstream->record,
-                 std::chrono::duration_cast<std::chrono::milliseconds>(
-                     now - abandoned.start_time));
-    }
-  } else {
-    health.RecordCancellation(abandoned.start_time);
   }
-  abandoned.channel->Close();
-  exchanges_.erase(found);
+  if (age <= kSilenceFactor * abandoned.usual_latency + kMinBlockedSilence) {
+    return health.RecordLate(abandoned.start_time, abandoned.usual_latency,
+                             now);
+  }
+  health.RecordTimeout(abandoned.start_time, now);
+  if (!on_silent_) return;
+  on_silent_(abandoned.spec.upstream->record,
+             std::chrono::duration_cast<std::chrono::milliseconds>(age));
 }
 
 }  // namespace papayaglade
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -48,8 +48,9 @@
   /// Sends an attempt and passes its result to `done`, which never runs before
   /// StartAttempt returns.
   id StartAttempt(attempt_spec spec, handler done);
-  /// Drops the handler of an exchange. The exchange may still complete, which
-  /// keeps its connection and records the health of the upstream.
+  /// Drops the handler of an exchange. Unless the attempt is late, it may still
+  /// complete, which keeps its connection and records the health of the
+  /// upstream.
   void Abandon(id exchange);
 
   /// Called when an upstream has not answered an attempt of the given age.
@@ -88,7 +89,9 @@
   /// `reachability_`.
   void RecordPath(const exchange& ended, bool contact);
   void ReturnChannel(const upstream_pointer& upstream, channel_pointer channel);
-  void OnAbandonedTimeout(id number);
+  /// Closes an abandoned exchange that has not completed and records what that
+  /// says about the upstream.
+  void CancelAbandoned(id number);
 
   loop_context& loop_;
   const entry_wire_format& wire_;
--- a/tests/unit/fanout_load_test.cc
+++ b/tests/unit/fanout_load_test.cc
@@ -63,4 +63,27 @@
   CHECK(outcome.coverage >= 0.99);
 }
 
+// One of two upstreams of each shard is out of reach, as when its data centre
+// is cut off. The other one is busy most of the time and pauses now and then,
+// so that requests queue there which end too late for their callers.
+TEST_CASE("requests that nobody awaits do not hold up a busy upstream",
+          "[load]") {
+  fanout_scenario scenario;
+  scenario.instances = 1;
+  scenario.shards = 20;
+  scenario.upstreams_per_shard = 1;
+  scenario.requests = 1500;
+  scenario.request_interval = std::chrono::milliseconds(12);
+  scenario.mean_service_time = std::chrono::milliseconds(28);
+  scenario.target = std::chrono::milliseconds(200);
+  scenario.deadline = std::chrono::milliseconds(3000);
+  scenario.minimum_coverage = 0.89;
+  scenario.slow_share = 0;
+  scenario.slots = 3;
+  scenario.connections = 30;
+  scenario.pause = std::chrono::milliseconds(250);
+  const mean_outcome outcome = MeanOutcome(scenario);
+  CHECK(outcome.in_time >= 0.99);
+}
+
 }  // namespace papayaglade
--- a/tests/unit/fanout_model.cc
+++ b/tests/unit/fanout_model.cc
@@ -1,11 +1,15 @@
 #include "fanout_model.h"
 
+#include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 
+#include "coordination/abandoned_attempt.h"
 #include "coordination/request_run.h"
 #include "coordination/timer_queue.h"
 
@@ -20,6 +24,51 @@
 constexpr monotonic_time kStart{std::chrono::hours(1)};
 
 class fanout_simulation;
+class simulated_request;
+
+/// The request of an attempt and the attempt's number within it.
+using simulated_attempt_id = std::pair<const simulated_request*, std::uint64_t>;
+
+/// Runs requests in the order of their arrival, a few at a time.
+class queueing_upstream {
+ public:
+  using start_handler = std::function<void()>;
+
+  explicit queueing_upstream(std::size_t slots) : slots_(slots) {}
+
+  /// Calls `start` once a slot is free.
+  void Add(const simulated_attempt_id& id, start_handler start) {
+    queue_.push_back({id, std::move(start)});
+    StartNext();
+  }
+
+  /// Removes the request, whether it runs or waits.
+  void Remove(const simulated_attempt_id& id) {
+    running_.erase(id);
+    queue_.remove_if(
+        [&](const waiting_request& each) { return each.id == id; });
+    StartNext();
+  }
+
+ private:
+  struct waiting_request {
+    simulated_attempt_id id;
+    start_handler start;
+  };
+
+  void StartNext() {
+    while (!queue_.empty() && (slots_ == 0 || running_.size() < slots_)) {
+      const waiting_request next = std::move(queue_.front());
+      queue_.pop_front();
+      running_.insert(next.id);
+      next.start();
+    }
+  }
+
+  std::size_t slots_;
+  std::set<simulated_attempt_id> running_;
+  std::list<waiting_request> queue_;
+};
 
 /// One request of the simulation.
 class simulated_request : public run_port {
@@ -28,9 +77,7 @@
 
   void Start(monotonic_time now);
   void Send(const attempt& attempt) override;
-  void Abandon(std::uint64_t number) override {
-    open_[number].abandoned = true;
-  }
+  void Abandon(std::uint64_t number) override;
   void Finish(entry_answer answer) override;
   void HandleTimer(monotonic_time now);
 
@@ -41,7 +88,9 @@
     bool abandoned = false;
   };
 
+  void Run(std::uint64_t number);
   void OnAnswer(std::uint64_t number, monotonic_time now);
+  void Cancel(std::uint64_t number, monotonic_time now);
 
   fanout_simulation& owner_;
   monotonic_time arrival_;
@@ -105,6 +154,24 @@
     return microseconds(static_cast<std::int64_t>(1000 * taken));
   }
 
+  /// Returns the end of a request that starts now and takes `service_time`
+  /// without the pauses of the upstream.
+  monotonic_time EndOfService(const std::string& upstream,
+                              microseconds service_time) {
+    if (scenario.pause.count() == 0) return now + service_time;
+    const microseconds interval = scenario.pause_interval;
+    const microseconds offset(
+        static_cast<std::int64_t>(std::hash<std::string>()(upstream) %
+                                  static_cast<std::size_t>(interval.count())));
+    const microseconds in_interval =
+        duration_cast<microseconds>(now.time_since_epoch() + offset) % interval;
+    if (in_interval < scenario.pause) {
+      return now + scenario.pause - in_interval + service_time;
+    }
+    const bool pauses = in_interval + service_time > interval;
+    return now + service_time + (pauses ? scenario.pause : milliseconds(0));
+  }
+
   fanout_scenario scenario;
   std::mt19937 random;
   upstream_directory directory;
@@ -113,6 +180,7 @@
   timer_queue timers;
   monotonic_time now = kStart;
   std::set<std::string> slow_upstreams;
+  std::map<std::string, queueing_upstream> upstreams;
   std::vector<std::unique_ptr<simulated_request>> started_requests;
   fanout_outcome outcome;
   std::size_t repeats = 0;
@@ -121,7 +189,7 @@
   void AddService(tier_configuration& to, const std::string& name) {
     service_limits limits;
     limits.name = name;
-    limits.connections = scenario.instances * 4;
+    limits.connections = scenario.instances * scenario.connections;
     to.services[name] = limits;
     for (std::size_t i = 0; i < scenario.upstreams_per_shard; ++i) {
       upstream_record record;
@@ -130,6 +198,7 @@
       record.data_centre = "dc-" + std::to_string(i);
       record.slots = 2;
       directory.Update(record, kStart);
+      upstreams.emplace(record.id, queueing_upstream(scenario.slots));
     }
   }
 
@@ -168,19 +237,46 @@
   const std::uint64_t number = attempt.number;
   open_[number] = {attempt.upstream, owner_.now, false};
   attempt.upstream->health.BeginAttempt(owner_.now, owner_.scenario.deadline);
-  const microseconds service_time =
-      owner_.ServiceTime(attempt.upstream->record.id);
+  owner_.upstreams.at(attempt.upstream->record.id)
+      .Add({this, number}, [this, number] { Run(number); });
+}
+
+void simulated_request::Run(std::uint64_t number) {
+  const std::string& upstream = open_[number].upstream->record.id;
   owner_.timers.Schedule(
-      owner_.now + service_time,
+      owner_.EndOfService(upstream, owner_.ServiceTime(upstream)),
       [this, number](monotonic_time now) { OnAnswer(number, now); });
 }
 
+void simulated_request::Abandon(std::uint64_t number) {
+  const auto found = open_.find(number);
+  if (found == open_.end()) return;
+  found->second.abandoned = true;
+  const milliseconds timeout = AbandonedAttemptTimeout(
+      duration_cast<microseconds>(owner_.now - found->second.begun),
+      owner_.policy.MedianLatency(run_.Route()));
+  owner_.timers.Schedule(
+      owner_.now + timeout,
+      [this, number](monotonic_time now) { Cancel(number, now); });
+}
+
+void simulated_request::Cancel(std::uint64_t number, monotonic_time now) {
+  const auto found = open_.find(number);
+  if (found == open_.end()) return;
+  const open_attempt ended = found->second;
+  open_.erase(found);
+  ended.upstream->health.RecordLate(
+      ended.begun, owner_.policy.MedianLatency(run_.Route()), now);
+  owner_.upstreams.at(ended.upstream->record.id).Remove({this, number});
+}
+
 // An abandoned attempt ends too, and its latency is recorded.
 void simulated_request::OnAnswer(std::uint64_t number, monotonic_time now) {
   const auto found = open_.find(number);
   if (found == open_.end()) return;
   const open_attempt ended = found->second;
   open_.erase(found);
+  owner_.upstreams.at(ended.upstream->record.id).Remove({this, number});
   ended.upstream->health.RecordAnswer(
       ended.begun, owner_.policy.MedianLatency(run_.Route()), now);
   owner_.policy.RecordLatency(run_.Route(),
--- a/tests/unit/fanout_model.h
+++ b/tests/unit/fanout_model.h
@@ -27,6 +27,15 @@
   /// Share of the upstreams that become slow after a third of the requests.
   double slow_share = 0.15;
   double slow_factor = 10;
+  /// Requests that an upstream runs at the same time; the others wait in a
+  /// queue. Zero means no limit.
+  std::size_t slots = 0;
+  /// Connections that an upstream accepts from each instance.
+  std::size_t connections = 4;
+  /// Each upstream stops for `pause` once in every `pause_interval`, at a time
+  /// of its own.
+  std::chrono::milliseconds pause{0};
+  std::chrono::milliseconds pause_interval{6000};
 };
 
 /// Results of the requests.
--- a/tests/unit/upstream_directory_test.cc
+++ b/tests/unit/upstream_directory_test.cc
@@ -70,6 +70,45 @@
   CHECK(ChosenId(directory, kStart, {"a", "b"}).empty());
 }
 
+// Guards against traffic between data centres that makes no answer faster: a
+// few requests beside each other find free slots at the near upstream.
+TEST_CASE("requests stay in the data centre while the upstream has free slots",
+          "[directory][load]") {
+  upstream_directory directory = MakeDirectory();
+  observed_health& near = KnownUpstream(directory, "a").health;
+  for (int i = 0; i < 3; ++i) {
+    CHECK(ChosenId(directory, kStart) == "a");
+    near.BeginAttempt(kStart, seconds(1));
+  }
+}
+
+// Guards against staying near at any price: a slow upstream is left after its
+// first answers, whatever lies between the data centres.
+TEST_CASE("an upstream in another data centre is preferred to a slow near one",
+          "[directory][load]") {
+  upstream_directory directory = MakeDirectory();
+  observed_health& near = KnownUpstream(directory, "a").health;
+  monotonic_time now = kStart;
+  for (int i = 0; i < 2; ++i) {
+    const monotonic_time begun = near.BeginAttempt(now, seconds(1));
+    now += milliseconds(160);
+    near.RecordAnswer(begun, milliseconds(20), now);
+  }
+  CHECK(ChosenId(directory, now) == "b");
+}
+
+TEST_CASE("a cancelled late attempt counts against its upstream",
+          "[directory][load]") {
+  upstream_directory directory = MakeDirectory();
+  observed_health& near = KnownUpstream(directory, "a").health;
+  const monotonic_time begun = near.BeginAttempt(kStart, seconds(1));
+  const monotonic_time now = kStart + milliseconds(120);
+  near.RecordLate(begun, milliseconds(20), now);
+  CHECK(near.PendingCount() == 0);
+  CHECK(near.Slowness(now) > 2);
+  CHECK(ChosenId(directory, now) == "b");
+}
+
 TEST_CASE("an upstream with an old pending attempt is avoided", "[directory]") {
   upstream_directory directory = MakeDirectory();
   observed_health& health = KnownUpstream(directory, "a").health;
