--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -16,8 +16,8 @@
 // The deadline leaves time for the answer to reach the caller. The latency
 // target also includes the transfer of the request before.
 constexpr milliseconds kAnswerMargin{10};
-constexpr milliseconds kLatencyTargetMargin{10};
-constexpr double kLatencyTargetMarginShare = 0.04;
+constexpr milliseconds kLatencyTargetMargin{8};
+constexpr double kLatencyTargetMarginShare = 0.12;
 constexpr milliseconds kDefaultTimeout{30000};
 // Intervals at which a leg without an upstream, or a hedge that could not be
 // sent, is tried again.
--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -15,10 +15,6 @@
 constexpr std::chrono::milliseconds kMaxDrainTime{2200};
 // Factors on the expected time of an upstream.
 constexpr double kOtherDataCentreFactor = 1.5;
-// Weight of the pending attempts at an upstream in the own data centre. As long
-// as it has free slots they do not wait for each other, and another data centre
-// gains nothing.
-constexpr double kNearLoadWeight = 0.25;
 constexpr double kColdFactor = 2.5;
 constexpr double kSuspectFactor = 50;
 constexpr double kLeavingFactor = 1000;
@@ -376,12 +372,11 @@
   const observed_health& health = upstream.health;
   const double slots =
       static_cast<double>(std::max<std::size_t>(1, upstream.record.slots));
-  const bool near = upstream.record.data_centre == data_centre_;
-  const double load_weight = near ? kNearLoadWeight : 1;
   double cost = health.Slowness(now);
-  cost *= 1 + load_weight * static_cast<double>(health.PendingCount()) / slots;
+  cost *= 1 + static_cast<double>(health.PendingCount()) / slots;
   cost *= 1 + kFailureFactor * health.FailureShare(now);
-  if (!near) cost *= kOtherDataCentreFactor;
+  if (upstream.record.data_centre != data_centre_)
+    cost *= kOtherDataCentreFactor;
   if (upstream.warm_at > now) cost *= kColdFactor;
   const bool late = health.OldestPendingAge(now) > criteria.suspect_after;
   if (late || (health.IsOnProbation() && health.PendingCount() > 0))
