--- a/tests/unit/http_exchange_channel_test.cc
+++ b/tests/unit/http_exchange_channel_test.cc
@@ -6,8 +6,10 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "store_standin.h"
@@ -29,22 +31,39 @@
   enum { kKeep, kClose, kReset } then = kKeep;
 };
 
-/// Accepts one connection and answers its requests with the scripted replies.
-class scripted_server {
+/// Accepts one connection and serves it on a thread of its own.
+class single_connection_server {
  public:
-  explicit scripted_server(std::vector<reply> script)
+  explicit single_connection_server(std::function<void(tcp::socket&)> serve)
       : acceptor_(io_, tcp::endpoint(tcp::v4(), 0)),
-        thread_([this, script = std::move(script)] { Serve(script); }) {}
-  ~scripted_server() { thread_.join(); }
+        thread_([this, serve = std::move(serve)] {
+          tcp::socket socket(io_);
+          acceptor_.accept(socket);
+          serve(socket);
+        }) {}
+  ~single_connection_server() { thread_.join(); }
 
   endpoint Address() const {
     return {"127.0.0.1", acceptor_.local_endpoint().port()};
   }
 
  private:
-  void Serve(const std::vector<reply>& script) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket);
+  boost::asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+/// Answers the requests of one connection with the scripted replies.
+class scripted_server : public single_connection_server {
+ public:
+  explicit scripted_server(std::vector<reply> script)
+      : single_connection_server(
+            [script = std::move(script)](tcp::socket& socket) {
+              Serve(script, socket);
+            }) {}
+
+ private:
+  static void Serve(const std::vector<reply>& script, tcp::socket& socket) {
     boost::asio::streambuf buffer;
     boost::system::error_code failed;
     for (const reply& each : script) {
@@ -63,40 +82,22 @@
     // Keeps the connection open until the client closes it.
     boost::asio::read_until(socket, buffer, "never", failed);
   }
-
-  boost::asio::io_context io_;
-  tcp::acceptor acceptor_;
-  std::thread thread_;
 };
 
-/// Accepts one connection and sends `start`, then `repeated` again and again
-/// until the client closes the connection.
-class endless_server {
+/// Sends `start`, then `repeated` again and again until the client closes the
+/// connection.
+class endless_server : public single_connection_server {
  public:
   endless_server(std::string start, std::string repeated)
-      : acceptor_(io_, tcp::endpoint(tcp::v4(), 0)),
-        thread_([this, start = std::move(start),
-                 repeated = std::move(repeated)] { Serve(start, repeated); }) {}
-  ~endless_server() { thread_.join(); }
-
-  endpoint Address() const {
-    return {"127.0.0.1", acceptor_.local_endpoint().port()};
-  }
-
- private:
-  void Serve(const std::string& start, const std::string& repeated) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket);
-    boost::system::error_code failed;
-    boost::asio::write(socket, boost::asio::buffer(start), failed);
-    while (!failed) {
-      boost::asio::write(socket, boost::asio::buffer(repeated), failed);
-    }
-  }
-
-  boost::asio::io_context io_;
-  tcp::acceptor acceptor_;
-  std::thread thread_;
+      : single_connection_server([start = std::move(start),
+                                  repeated = std::move(repeated)](
+                                     tcp::socket& socket) {
+          boost::system::error_code failed;
+          boost::asio::write(socket, boost::asio::buffer(start), failed);
+          while (!failed) {
+            boost::asio::write(socket, boost::asio::buffer(repeated), failed);
+          }
+        }) {}
 };
 
 std::string Answer(const std::string& body) {
