Log each request that ends without an answer, and why

Now a request that was read whole and whose connection ends before its answer is written has one line, caller_left or unanswered, with by, read, ms, stopping_ms, waits_for, open_legs and upstreams. This includes answers that were handed to the socket and not written whole. A stop logs each request in progress, each one that it takes, and in `stopped` what it leaves, so that a later SIGKILL can be explained too. The lines have a budget of their own, and the last flush waits up to 50 ms for the reader. papayaglade_unanswered_total counts by who ended the request.

No decision changes. At the end of the process the callers' connections are closed one by one, to log them, instead of by the end itself.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -32,6 +32,7 @@
 constexpr milliseconds kReachabilityCheckInterval{100};
 constexpr milliseconds kSettingsCheckInterval{1000};
 constexpr milliseconds kShutdownCheckInterval{50};
+constexpr milliseconds kLastFlushLimit{50};
 // Phases of a shutdown after SIGTERM, as shares of the shutdown bound: by the
 // first share the balancer has stopped sending requests, from the second on
 // idle connections are closed, and at the third the process stops in any case.
@@ -120,7 +121,7 @@
 
   void Run() {
     loop_.Run();
-    log_.Flush();
+    log_.FlushAtEnd(kLastFlushLimit);
   }
 
  private:
@@ -266,7 +267,7 @@
   void BeginShutdown() {
     stopping_ = true;
     shutdown_start_ = loop_context::Now();
-    service_.CloseConnectionsAfterAnswers();
+    service_.BeginStop(shutdown_start_);
     registry_.Leave();
     mirror_.StopServing();
     log_.Write(
@@ -294,10 +295,17 @@
 
   void StopLoop() {
     callers_.StopAccepting();
-    log_.Write(structured_log::kind::kEvent,
-               log_line("stopped").With(
-                   "requests", static_cast<int64_t>(service_.ActiveCount())));
-    log_.Flush();
+    log_line line("stopped");
+    line.With("requests", static_cast<int64_t>(service_.ActiveCount()))
+        .With("connections", static_cast<int64_t>(callers_.ConnectionCount()));
+    const std::size_t unanswered = service_.UnansweredCount();
+    const std::size_t unwritten = service_.UnwrittenCount();
+    callers_.CloseAllConnections();
+    line.With("unanswered",
+              static_cast<int64_t>(service_.UnansweredCount() - unanswered))
+        .With("unwritten",
+              static_cast<int64_t>(service_.UnwrittenCount() - unwritten));
+    log_.Write(structured_log::kind::kEvent, line);
     loop_.Stop();
   }
 
--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using std::chrono::microseconds;
+using std::chrono::milliseconds;
 
 // Interval at which the counts of recent requests are halved.
 constexpr std::chrono::seconds kRequestCountHalfLife{2};
@@ -41,6 +42,15 @@
       answer);
 }
 
+// Tells of a request that is taken while the instance stops.
+log_line TakenLine(const owed_answer& owed, milliseconds allowed) {
+  return log_line("taken_while_stopping")
+      .With("request", owed.request)
+      .With("route", owed.route)
+      .With("stopping_ms", owed.stopping.value_or(milliseconds(-1)).count())
+      .With("allowed_ms", allowed.count());
+}
+
 }  // namespace
 
 // A request in progress: performs the actions that its request_run decides on.
@@ -61,7 +71,7 @@
 
   void Start() {
     connection_->SetOnDisconnect([weak = weak_from_this()] {
-      if (const auto self = weak.lock()) self->OnCallerGone();
+      if (const auto self = weak.lock()) self->OnDisconnect();
     });
     run_.Start(loop_context::Now());
     ScheduleTimer();
@@ -96,18 +106,47 @@
     const bool diverted =
         service_.diverting_ && std::holds_alternative<refused_answer>(answer);
     const bool keep_alive =
-        request_->keep_alive && !service_.closing_ && !diverted;
+        request_->keep_alive && !service_.stop_start_.has_value() && !diverted;
     const bool head = request_->method == "HEAD";
     RecordOutcome(answer);
     const auto connection = std::move(connection_);
     connection_ = nullptr;
     const auto self = shared_from_this();
     service_.Remove(this);
-    connection->Respond(service_.wire_.EncodeAnswer(answer, head, keep_alive),
-                        !keep_alive);
+    service_.Deliver(connection,
+                     service_.wire_.EncodeAnswer(answer, head, keep_alive),
+                     !keep_alive, request_->id, run_.Route().name, arrival_);
+  }
+
+  // The longest that the request may still take.
+  milliseconds TimeAllowed() const {
+    return std::chrono::duration_cast<milliseconds>(run_.Deadline() -
+                                                    loop_context::Now());
+  }
+
+  // What the request waits for at present.
+  owed_answer Owed() const {
+    owed_answer owed = service_.Owed(request_->id, run_.Route().name, arrival_);
+    for (const request_run::open_leg& each : run_.OpenLegs()) {
+      const bool asked = !each.attempts.empty();
+      owed.open_legs.push_back(each.service + "/" +
+                               (asked ? each.upstream : "-"));
+      if (!asked || owed.waits_for == awaited::kAnswer) continue;
+      owed.waits_for = std::any_of(each.attempts.begin(), each.attempts.end(),
+                                   [&](auto n) { return IsConnected(n); })
+                           ? awaited::kAnswer
+                           : awaited::kConnect;
+    }
+    return owed;
   }
 
  private:
+  bool IsConnected(std::uint64_t number) const {
+    const auto found = exchanges_.find(number);
+    return found != exchanges_.end() &&
+           service_.upstream_client_.IsConnected(found->second);
+  }
+
   void OnResult(std::uint64_t number, const upstream_record& upstream,
                 attempt_result result) {
     const auto self = shared_from_this();
@@ -127,18 +166,13 @@
     ScheduleTimer();
   }
 
-  void OnCallerGone() {
+  void OnDisconnect() {
     const auto self = shared_from_this();
+    const connection_end end = connection_->End();
     connection_ = nullptr;
     if (run_.IsDone()) return;
+    service_.RecordUnanswered(Owed(), end);
     run_.Cancel();
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        loop_context::Now() - arrival_);
-    service_.log_.Write(structured_log::kind::kFailure,
-                        log_line("caller_left")
-                            .With("request", request_->id)
-                            .With("route", run_.Route().name)
-                            .With("ms", elapsed.count()));
     service_.Remove(this);
   }
 
@@ -257,6 +291,10 @@
   const auto active = std::make_shared<active_request>(*this, from, request,
                                                        std::move(context));
   active_.insert(active);
+  if (stop_start_.has_value()) {
+    log_.Write(structured_log::kind::kOwed,
+               TakenLine(active->Owed(), active->TimeAllowed()));
+  }
   active->Start();
 }
 
@@ -281,8 +319,59 @@
     line.With("state_age_ms", StateAge());
   }
   log_.Write(structured_log::kind::kFailure, line);
-  const bool keep = keep_alive && !closing_;
-  to->Respond(wire_.EncodeAnswer(answer, false, keep), !keep);
+  const bool keep = keep_alive && !stop_start_.has_value();
+  Deliver(to, wire_.EncodeAnswer(answer, false, keep), !keep, id, "",
+          loop_context::Now());
+}
+
+void entry_service::Deliver(const std::shared_ptr<caller_connection>& to,
+                            std::string answer, bool close,
+                            const std::string& id, const std::string& route,
+                            monotonic_time arrival) {
+  to->Respond(std::move(answer), close);
+  if (!to->HasUnwrittenAnswer()) return;
+  const std::weak_ptr<caller_connection> weak = to;
+  to->AddOnUnwritten([this, weak, id, route, arrival] {
+    const auto from = weak.lock();
+    if (from == nullptr) return;
+    owed_answer owed = Owed(id, route, arrival);
+    owed.waits_for = awaited::kWrite;
+    RecordUnanswered(owed, from->End());
+  });
+}
+
+owed_answer entry_service::Owed(const std::string& id, const std::string& route,
+                                monotonic_time arrival) const {
+  const monotonic_time now = loop_context::Now();
+  owed_answer owed;
+  owed.request = id;
+  owed.route = route;
+  owed.age = std::chrono::duration_cast<milliseconds>(now - arrival);
+  if (stop_start_.has_value()) {
+    owed.stopping =
+        std::chrono::duration_cast<milliseconds>(now - *stop_start_);
+  }
+  return owed;
+}
+
+void entry_service::RecordUnanswered(const owed_answer& owed,
+                                     connection_end end) {
+  const char* by = ConnectionEndName(end);
+  metrics_.Add(counter_metric::kUnanswered, by, 1);
+  ++unanswered_;
+  if (owed.waits_for == awaited::kWrite) ++unwritten_;
+  log_.Write(structured_log::kind::kOwed,
+             OwedAnswerLine(IsEndedByCaller(end) ? "caller_left" : "unanswered",
+                            owed, by, std::chrono::system_clock::now()));
+}
+
+void entry_service::BeginStop(monotonic_time now) {
+  stop_start_ = now;
+  for (const auto& each : active_) {
+    log_.Write(structured_log::kind::kOwed,
+               OwedAnswerLine("in_progress", each->Owed(), "",
+                              std::chrono::system_clock::now()));
+  }
 }
 
 void entry_service::CountRequest(const std::string& route, monotonic_time now) {
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "app/metrics_registry.h"
+#include "app/owed_answer.h"
 #include "app/structured_log.h"
 #include "coordination/request_run.h"
 #include "coordination/route_table.h"
@@ -33,8 +34,9 @@
   void SetConfiguration(
       std::shared_ptr<const tier_configuration> configuration);
   /// Closes each connection after its next answer, so that callers reconnect to
-  /// another instance.
-  void CloseConnectionsAfterAnswers() { closing_ = true; }
+  /// another instance. Logs each request in progress, and from now on each one
+  /// that is taken.
+  void BeginStop(monotonic_time now);
   /// Returns whether the routes of more than half of the recent requests cannot
   /// be served because their upstreams are unreachable.
   bool MostRequestsUnservable(monotonic_time now) const;
@@ -47,6 +49,10 @@
   void SetDiverting(bool diverting) { diverting_ = diverting; }
   bool IsConfigured() const { return routes_.has_value(); }
   std::size_t ActiveCount() const { return active_.size(); }
+  /// Returns how many requests ended without a complete answer.
+  std::size_t UnansweredCount() const { return unanswered_; }
+  /// Returns how many of these had an answer that was not written whole.
+  std::size_t UnwrittenCount() const { return unwritten_; }
 
   caller_limits Limits() const override;
   void OnRequest(const std::shared_ptr<caller_connection>& from,
@@ -62,6 +68,15 @@
   void Refuse(const std::shared_ptr<caller_connection>& to,
               const std::string& id, refused_answer answer, bool keep_alive);
   void Remove(active_request* finished);
+  /// Sends an answer, and watches it until it is written.
+  void Deliver(const std::shared_ptr<caller_connection>& to, std::string answer,
+               bool close, const std::string& id, const std::string& route,
+               monotonic_time arrival);
+  /// Logs and counts a request whose connection ended before its answer.
+  void RecordUnanswered(const owed_answer& owed, connection_end end);
+  /// Returns the facts that do not depend on the progress of a request.
+  owed_answer Owed(const std::string& id, const std::string& route,
+                   monotonic_time arrival) const;
   /// Returns the age of the local copy of the store in milliseconds, or -1 if
   /// it is unknown.
   std::int64_t StateAge() const;
@@ -83,7 +98,10 @@
   std::map<std::string, double> recent_requests_;
   monotonic_time last_halving_;
   std::function<std::chrono::milliseconds()> state_age_;
-  bool closing_ = false;
+  /// Time at which the stop began; empty until then.
+  std::optional<monotonic_time> stop_start_;
+  std::size_t unanswered_ = 0;
+  std::size_t unwritten_ = 0;
   bool diverting_ = false;
 };
 
--- a/src/app/metrics_registry.cc
+++ b/src/app/metrics_registry.cc
@@ -48,6 +48,9 @@
     case counter_metric::kRosterChanges:
       return {"papayaglade_roster_changes_total", "data_centre",
               "Roster epochs seen."};
+    case counter_metric::kUnanswered:
+      return {"papayaglade_unanswered_total", "by",
+              "Requests read whole whose connection ended before the answer."};
   }
   return {"", "", ""};
 }
--- a/src/app/structured_log.cc
+++ b/src/app/structured_log.cc
@@ -1,6 +1,7 @@
 #include "app/structured_log.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -15,7 +16,13 @@
 constexpr std::size_t kFailuresPerSecond = 50;
 constexpr std::size_t kAttemptsPerSecond = 20;
 constexpr std::size_t kSuccessesPerSecond = 5;
+// A stop tells of each request in progress, of which there are at most as many
+// as connections.
+constexpr std::size_t kOwedPerSecond = 2000;
 constexpr std::size_t kMaxPendingBytes = 64 * 1024;
+constexpr std::size_t kMaxPendingOwedBytes = 512 * 1024;
+constexpr std::size_t kMaxPendingEventBytes =
+    kMaxPendingOwedBytes + kMaxPendingBytes;
 constexpr std::chrono::milliseconds kFlushDelay{100};
 
 }  // namespace
@@ -38,23 +45,25 @@
   return *this;
 }
 
-structured_log::structured_log(loop_context& loop)
+structured_log::structured_log(loop_context& loop, int descriptor)
     : loop_(loop),
-      budgets_{{{kEventsPerSecond, 0},
-                {kFailuresPerSecond, 0},
-                {kAttemptsPerSecond, 0},
-                {kSuccessesPerSecond, 0}}},
+      descriptor_(descriptor),
+      budgets_{{{kEventsPerSecond, kMaxPendingEventBytes, 0},
+                {kFailuresPerSecond, kMaxPendingBytes, 0},
+                {kAttemptsPerSecond, kMaxPendingBytes, 0},
+                {kSuccessesPerSecond, kMaxPendingBytes, 0},
+                {kOwedPerSecond, kMaxPendingOwedBytes, 0}}},
       window_start_(loop_context::Now()) {
   // A blocked reader of standard output must not block requests.
-  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
-  if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  const int flags = fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
 }
 
 void structured_log::Write(kind kind, const log_line& line) {
   const monotonic_time now = loop_context::Now();
   if (now - window_start_ >= std::chrono::seconds(1)) StartWindow(now);
   budget& own = budgets_.at(static_cast<std::size_t>(kind));
-  if (own.used >= own.per_second || pending_.size() >= kMaxPendingBytes) {
+  if (own.used >= own.per_second || pending_.size() >= own.pending_bytes) {
     ++dropped_lines_;
     return;
   }
@@ -67,14 +76,29 @@
 
 void structured_log::Flush() {
   while (!pending_.empty()) {
-    const ssize_t count =
-        write(STDOUT_FILENO, pending_.data(), pending_.size());
+    const ssize_t count = write(descriptor_, pending_.data(), pending_.size());
     if (count < 0 && errno == EINTR) continue;
     if (count <= 0) return;
     pending_.erase(0, static_cast<std::size_t>(count));
   }
 }
 
+void structured_log::FlushAtEnd(std::chrono::milliseconds limit) {
+  ReportDroppedLines();
+  const monotonic_time end = loop_context::Now() + limit;
+  Flush();
+  while (!pending_.empty()) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        end - loop_context::Now());
+    if (left.count() <= 0) return;
+    pollfd output{descriptor_, POLLOUT, 0};
+    const int ready = poll(&output, 1, static_cast<int>(left.count()));
+    if (ready < 0 && errno != EINTR) return;
+    if (ready > 0 && (output.revents & POLLOUT) == 0) return;
+    Flush();
+  }
+}
+
 void structured_log::ScheduleFlush() {
   if (flush_scheduled_) return;
   flush_scheduled_ = true;
@@ -88,6 +112,10 @@
 void structured_log::StartWindow(monotonic_time now) {
   window_start_ = now;
   for (budget& each : budgets_) each.used = 0;
+  ReportDroppedLines();
+}
+
+void structured_log::ReportDroppedLines() {
   if (dropped_lines_ == 0) return;
   pending_ +=
       "event=lines_left_out count=" + std::to_string(dropped_lines_) + "\n";
--- a/src/app/structured_log.h
+++ b/src/app/structured_log.h
@@ -2,6 +2,7 @@
 #define PAPAYAGLADE_APP_STRUCTURED_LOG_H_
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -34,28 +35,38 @@
     kFailure,  ///< A request that was not served completely.
     kAttempt,  ///< A failed attempt, whatever the outcome of its request.
     kSuccess,  ///< A request that was served completely.
+    kOwed,     ///< A request that is owed an answer at the end of its
+               ///< connection or of the process.
   };
 
-  explicit structured_log(loop_context& loop);
+  /// Writes to the file `descriptor`, which must not be closed before.
+  explicit structured_log(loop_context& loop, int descriptor = 1);
 
   void Write(kind kind, const log_line& line);
   /// Writes as much of the buffer as standard output accepts.
   void Flush();
+  /// Writes the buffer and the number of dropped lines at the end of the
+  /// process. Waits at most `limit` for standard output.
+  void FlushAtEnd(std::chrono::milliseconds limit);
 
  private:
   struct budget {
     std::size_t per_second = 0;
+    /// Size of the buffer beyond which lines of the kind are dropped.
+    std::size_t pending_bytes = 0;
     std::size_t used = 0;
   };
 
   void ScheduleFlush();
   /// Starts the next one-second window and logs the number of dropped lines.
   void StartWindow(monotonic_time now);
+  void ReportDroppedLines();
 
   loop_context& loop_;
+  int descriptor_;
   /// Lines that are not written yet.
   std::string pending_;
-  std::array<budget, 4> budgets_;  ///< Rate limits, indexed by kind.
+  std::array<budget, 5> budgets_;  ///< Rate limits, indexed by kind.
   monotonic_time window_start_;
   std::uint64_t dropped_lines_ = 0;
   bool flush_scheduled_ = false;
--- a/src/coordination/metrics_sink.h
+++ b/src/coordination/metrics_sink.h
@@ -30,6 +30,7 @@
   kUpstreamLosses,    ///< upstream
   kPlatformCalls,     ///< outcome
   kRosterChanges,     ///< data centre
+  kUnanswered,        ///< by
 };
 
 /// Gauges; the comments name the label of each.
--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -192,6 +192,17 @@
   return statistics;
 }
 
+std::vector<request_run::open_leg> request_run::OpenLegs() const {
+  std::vector<open_leg> open;
+  for (const leg& each : legs_) {
+    if (each.state != leg_state::kOpen) continue;
+    open.push_back({each.service, "", each.in_flight});
+    if (each.in_flight.empty()) continue;
+    open.back().upstream = each.last_upstream->record.id;
+  }
+  return open;
+}
+
 std::size_t request_run::RequiredAnswers() const {
   if (fanout_ == nullptr) return 1;
   constexpr double kRounding = 1e-9;
--- a/src/coordination/request_run.h
+++ b/src/coordination/request_run.h
@@ -89,10 +89,23 @@
 
   /// Returns the time at which OnTimer is due.
   monotonic_time NextTimer() const { return next_timer_; }
+  /// Returns the time by which the run finishes.
+  monotonic_time Deadline() const { return deadline_; }
   bool IsDone() const { return is_done_; }
   const route& Route() const { return *context_.matched_route; }
   run_statistics Statistics() const;
 
+  /// A leg that has no answer yet.
+  struct open_leg {
+    std::string service;
+    /// Id of the upstream asked last; empty if no attempt awaits a result.
+    std::string upstream;
+    /// Numbers of the attempts that await a result.
+    std::vector<std::uint64_t> attempts;
+  };
+  /// Returns what the run waits for, for the log.
+  std::vector<open_leg> OpenLegs() const;
+
  private:
   enum class leg_state { kOpen, kAnswered, kGivenUp };
   struct leg {
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -32,8 +32,9 @@
                           if (const auto self = weak.lock())
                             self->OnBytes(bytes);
                         },
-                        [weak](error_code) {
-                          if (const auto self = weak.lock()) self->OnEnd();
+                        [weak](error_code failed) {
+                          if (const auto self = weak.lock())
+                            self->OnEnd(failed);
                         },
                         [weak] {
                           if (const auto self = weak.lock()) self->OnWritten();
@@ -51,6 +52,7 @@
   const auto self = shared_from_this();
   ResetParser();
   ArmTimeout(owner_.Limits().idle_timeout);
+  answer_unwritten_ = true;
   socket_->Write(std::move(bytes));
 }
 
@@ -60,13 +62,16 @@
          !parser_->got_some();
 }
 
-void caller_connection::Close() {
+void caller_connection::Close(connection_end end) {
   if (closed_) return;
   closed_ = true;
+  end_ = end;
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   socket_->Close();
   const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
   if (on_disconnect) on_disconnect();
+  const auto on_unwritten = std::exchange(on_unwritten_, {});
+  for (const auto& each : on_unwritten) each();
   owner_.OnClosed(shared_from_this());
 }
 
@@ -121,9 +126,13 @@
   socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void caller_connection::OnEnd() { Close(); }
+void caller_connection::OnEnd(error_code failed) {
+  Close(failed ? connection_end::kCallerReset : connection_end::kCallerClosed);
+}
 
 void caller_connection::OnWritten() {
+  answer_unwritten_ = false;
+  on_unwritten_.clear();
   if (request_in_progress_ || closed_) return;
   if (close_after_response_) return Close();
   socket_->StartReading();
@@ -136,7 +145,7 @@
   timeout_ = loop_.ScheduleAfter(delay, [weak](monotonic_time) {
     if (const auto self = weak.lock()) {
       self->timeout_.reset();
-      self->Close();
+      self->Close(connection_end::kTimeout);
     }
   });
 }
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -8,9 +8,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "protocol/entry_wire_format.h"
 #include "state/route.h"
+#include "transport/connection_end.h"
 #include "transport/stream_socket.h"
 
 namespace papayaglade {
@@ -54,11 +56,21 @@
     on_disconnect_ = std::move(on_disconnect);
   }
 
+  /// Returns true if the last answer is not wholly in the kernel yet.
+  bool HasUnwrittenAnswer() const { return answer_unwritten_; }
+  /// Adds a handler that is called if the connection closes before the last
+  /// answer is written. It is dropped once the answer is written.
+  void AddOnUnwritten(std::function<void()> on_unwritten) {
+    if (answer_unwritten_) on_unwritten_.push_back(std::move(on_unwritten));
+  }
+
   /// Returns true if no request is in progress, the last answer has been
   /// written, and nothing has been received since.
   bool IsIdle() const;
   /// Closes the connection at once and calls OnClosed.
-  void Close();
+  void Close(connection_end end = connection_end::kInstance);
+  /// Returns why the connection ended. Valid in the handlers that tell of it.
+  connection_end End() const { return end_; }
 
  private:
   using parser =
@@ -67,7 +79,7 @@
   void ResetParser();
   void OnBytes(std::string_view bytes);
   void ParseMore();
-  void OnEnd();
+  void OnEnd(boost::system::error_code failed);
   void OnWritten();
   void ArmTimeout(std::chrono::milliseconds delay);
   void SendContinueIfExpected();
@@ -78,10 +90,13 @@
   std::optional<parser> parser_;
   std::string unparsed_;  ///< Received bytes that the parser has not consumed.
   std::function<void()> on_disconnect_;
+  std::vector<std::function<void()>> on_unwritten_;
+  connection_end end_ = connection_end::kInstance;
   /// Timer of the header or idle timeout; empty if neither is running.
   std::optional<timer_queue::id> timeout_;
   bool request_in_progress_ = false;
   bool close_after_response_ = false;
+  bool answer_unwritten_ = false;
   bool continue_sent_ = false;  ///< "100 Continue" was sent for this request.
   bool closed_ = false;
 };
--- a/src/transport/caller_port.cc
+++ b/src/transport/caller_port.cc
@@ -47,6 +47,11 @@
   }
 }
 
+void caller_port::CloseAllConnections() {
+  const std::set<std::shared_ptr<caller_connection>> all = connections_;
+  for (const auto& each : all) each->Close(connection_end::kStopping);
+}
+
 void caller_port::StopAccepting() {
   AcceptPending();
   error_code ignored;  // The acceptor is not used again.
--- a/src/transport/caller_port.h
+++ b/src/transport/caller_port.h
@@ -36,6 +36,8 @@
   void CloseIdleConnections();
   /// Accepts the connections in the backlog, then stops listening.
   void StopAccepting();
+  /// Closes all connections at once, because the process ends.
+  void CloseAllConnections();
   std::size_t ConnectionCount() const { return connections_.size(); }
 
  private:
--- a/src/transport/http_exchange_channel.h
+++ b/src/transport/http_exchange_channel.h
@@ -44,6 +44,7 @@
   /// Closes the connection without calling the handler of a running exchange.
   void Close();
 
+  bool IsConnected() const { return connected_; }
   /// Returns true if the channel is connected, idle and kept alive, so that
   /// another exchange can follow.
   bool IsReusable() const;
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -65,6 +65,11 @@
   return number;
 }
 
+bool upstream_client::IsConnected(id exchange) const {
+  const auto found = exchanges_.find(exchange);
+  return found != exchanges_.end() && found->second.channel->IsConnected();
+}
+
 void upstream_client::Abandon(id number) {
   const auto found = exchanges_.find(number);
   if (found == exchanges_.end()) return;
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -52,6 +52,8 @@
   /// complete, which keeps its connection and records the health of the
   /// upstream.
   void Abandon(id exchange);
+  /// Returns whether the connection of a running exchange is established.
+  bool IsConnected(id exchange) const;
 
   /// Called when an upstream has not answered an attempt of the given age.
   using silence_handler = std::function<void(const upstream_record& upstream,
