Refuse answers of upstreams in transfer codings that are not understood

What callers saw: a 200 whose body was not the upstream's. An answer in "Transfer-Encoding: gzip", or with chunks inside another coding, was passed on as coded bytes with a Content-Length; without a length, each part of it that ended in an orderly close passed for the whole. Status 000 to 099 was passed on as well, and what follows a 101 was taken for the answer.

Cause: the parser decodes chunks only. It reads every other coding, and "chunked, gzip", up to the end of the connection, and it accepts any three digits as a status. The field that names the coding is not forwarded.

The fix refuses what the parser has not decoded: such an exchange is broken, so that it is neither relayed nor a part of a fan-out.

--- a/src/transport/http_exchange_channel.cc
+++ b/src/transport/http_exchange_channel.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
 #include <charconv>
@@ -19,12 +20,26 @@
 // Bytes that the parser cannot use yet, such as a part of a chunk header.
 constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 constexpr int kMaxInterimAnswers = 8;
+constexpr int kMinStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kMinFinalStatus = 200;
 // Applies if the server sends no "Keep-Alive: timeout" parameter.
 constexpr std::chrono::seconds kDefaultIdleTimeout{30};
 // An idle connection is not used this shortly before the server may close it.
 constexpr std::chrono::milliseconds kIdleTimeoutMargin{500};
 
+// The parser decodes chunks only and takes the bytes of every other transfer
+// coding for the body. No request asks for an upgrade.
+bool IsUnderstood(const upstream_message& message) {
+  const auto status = static_cast<int>(message.result_int());
+  if (status < kMinStatus || status == kSwitchingProtocols) return false;
+  const auto codings = message.count(http::field::transfer_encoding);
+  return codings == 0 ||
+         (codings == 1 &&
+          boost::beast::iequals(message[http::field::transfer_encoding],
+                                "chunked"));
+}
+
 }  // namespace
 
 http_exchange_channel::http_exchange_channel(
@@ -108,6 +123,9 @@
     }
     if (failed) return Fail(channel_failure::kBroken, "not an HTTP answer");
     if (!parser_->is_done()) continue;
+    if (!IsUnderstood(parser_->get())) {
+      return Fail(channel_failure::kBroken, "not an HTTP answer");
+    }
     if (parser_->get().result_int() < kMinFinalStatus) {
       if (++interim_answers_ > kMaxInterimAnswers) {
         return Fail(channel_failure::kBroken, "interim answers without end");
@@ -125,7 +143,8 @@
   if (!failed && parser_.has_value() && parser_->got_some()) {
     error_code incomplete;
     parser_->put_eof(incomplete);
-    if (!incomplete && parser_->is_done()) return Complete();
+    const bool whole = !incomplete && parser_->is_done();
+    if (whole && IsUnderstood(parser_->get())) return Complete();
   }
   Fail(channel_failure::kBroken, failed ? "connection reset" : "cut short");
 }
