Answer pipelined requests in a loop with a bound

What callers saw: an instance ended with SIGSEGV when one connection had many requests in its buffer whose answers were there at once; all requests in progress on it ended without an answer. A caller that did not read its answers made the instance hold all of them, and one that pipelined kept all others waiting.

Cause: Respond, OnWritten, ParseMore and OnRequest called each other once for each request, the next request was taken while the answer before it was still unwritten, and one turn of the loop took all that had been received.

The fix takes requests in a loop, at most 32 in a turn and none while the answer before is unwritten. Reading pauses while more than 256 KiB wait.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -1,6 +1,7 @@
 #include "transport/caller_connection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
@@ -13,9 +14,10 @@
 
 namespace {
 
-// Reading pauses when a caller has pipelined more than this while its request
-// is in progress.
+// Reading pauses while more than this waits for the answers before it.
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
+// Other connections get their turn after this many requests of one.
+constexpr int kMaxRequestsInTurn = 32;
 
 }  // namespace
 
@@ -55,7 +57,7 @@
 }
 
 bool caller_connection::IsIdle() const {
-  return !request_in_progress_ && unparsed_.empty() &&
+  return !request_in_progress_ && received_.empty() &&
          !socket_->HasPendingWrite() && parser_.has_value() &&
          !parser_->got_some();
 }
@@ -80,37 +82,74 @@
 }
 
 void caller_connection::OnBytes(std::string_view bytes) {
-  unparsed_.append(bytes);
-  if (request_in_progress_ && unparsed_.size() > kMaxPipelinedBytes)
-    socket_->PauseReading();
-  ParseMore();
+  received_.append(bytes);
+  TakeRequests();
+}
+
+bool caller_connection::MayTakeRequest() const {
+  return !closed_ && !request_in_progress_ && !close_after_response_ &&
+         !socket_->HasPendingWrite();
 }
 
-void caller_connection::ParseMore() {
+// An answer that is written at once leads back to this function, which goes on
+// in its loop, because a call for each request would exhaust the stack.
+void caller_connection::TakeRequests() {
+  if (taking_requests_) return;
   const auto self = shared_from_this();
-  while (!closed_ && !request_in_progress_ && !close_after_response_ &&
-         !unparsed_.empty()) {
+  taking_requests_ = true;
+  needs_more_bytes_ = false;
+  for (int taken = 0; taken < kMaxRequestsInTurn && MayTakeRequest(); ++taken) {
+    ParseNext();
+    if (needs_more_bytes_) break;
+  }
+  taking_requests_ = false;
+  received_.erase(0, consumed_);
+  consumed_ = 0;
+  if (!closed_) EndTurn();
+}
+
+void caller_connection::ParseNext() {
+  while (consumed_ < received_.size()) {
     if (!parser_->got_some()) ArmTimeout(owner_.Limits().header_timeout);
     error_code failed;
-    const std::size_t used =
-        parser_->put(boost::asio::buffer(unparsed_), failed);
-    unparsed_.erase(0, used);
-    if (failed == http::error::need_more) return SendContinueIfExpected();
-    if (failed) {
-      const bool too_large = failed == http::error::body_limit ||
-                             failed == http::error::header_limit;
-      request_in_progress_ = true;
-      return owner_.OnMalformed(shared_from_this(), too_large);
-    }
-    if (!parser_->is_done()) {
-      SendContinueIfExpected();
-      continue;
+    consumed_ +=
+        parser_->put(boost::asio::buffer(received_) + consumed_, failed);
+    const bool whole = !failed && parser_->is_done();
+    if (whole || (failed && failed != http::error::need_more)) {
+      return Dispatch(failed);
     }
-    request_in_progress_ = true;
-    if (timeout_.has_value()) loop_.Cancel(*timeout_);
-    timeout_.reset();
-    owner_.OnRequest(shared_from_this(), parser_->release());
+    SendContinueIfExpected();
+    if (failed == http::error::need_more) break;
   }
+  needs_more_bytes_ = true;
+}
+
+void caller_connection::Dispatch(error_code failed) {
+  request_in_progress_ = true;
+  if (failed) {
+    const bool too_large = failed == http::error::body_limit ||
+                           failed == http::error::header_limit;
+    return owner_.OnMalformed(shared_from_this(), too_large);
+  }
+  if (timeout_.has_value()) loop_.Cancel(*timeout_);
+  timeout_.reset();
+  owner_.OnRequest(shared_from_this(), parser_->release());
+}
+
+void caller_connection::EndTurn() {
+  if (needs_more_bytes_ || received_.size() <= kMaxPipelinedBytes) {
+    socket_->StartReading();
+  } else {
+    socket_->PauseReading();
+  }
+  if (needs_more_bytes_ || turn_scheduled_ || !MayTakeRequest()) return;
+  turn_scheduled_ = true;
+  boost::asio::post(loop_.Io(), [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr) return;
+    self->turn_scheduled_ = false;
+    self->TakeRequests();
+  });
 }
 
 void caller_connection::SendContinueIfExpected() {
@@ -126,8 +165,7 @@
 void caller_connection::OnWritten() {
   if (request_in_progress_ || closed_) return;
   if (close_after_response_) return Close();
-  socket_->StartReading();
-  ParseMore();
+  TakeRequests();
 }
 
 void caller_connection::ArmTimeout(std::chrono::milliseconds delay) {
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -66,7 +66,18 @@
 
   void ResetParser();
   void OnBytes(std::string_view bytes);
-  void ParseMore();
+  /// Returns true if the next request may be taken: the one before has been
+  /// answered and its answer written.
+  bool MayTakeRequest() const;
+  /// Takes the requests that were received, one after the other, up to a limit
+  /// for this turn of the loop. The rest follows in later turns.
+  void TakeRequests();
+  /// Parses until one request is taken, or until more bytes are needed.
+  void ParseNext();
+  void Dispatch(boost::system::error_code failed);
+  /// Goes on with what is left after a turn: waits for more bytes, or takes
+  /// more requests in another turn.
+  void EndTurn();
   void OnEnd();
   void OnWritten();
   void ArmTimeout(std::chrono::milliseconds delay);
@@ -76,10 +87,15 @@
   std::shared_ptr<stream_socket> socket_;
   owner& owner_;
   std::optional<parser> parser_;
-  std::string unparsed_;  ///< Received bytes that the parser has not consumed.
+  /// Received bytes, of which the parser has consumed the first `consumed_`.
+  std::string received_;
+  std::size_t consumed_ = 0;
   std::function<void()> on_disconnect_;
   /// Timer of the header or idle timeout; empty if neither is running.
   std::optional<timer_queue::id> timeout_;
+  bool taking_requests_ = false;  ///< TakeRequests is running.
+  bool needs_more_bytes_ = true;  ///< No whole request has been received.
+  bool turn_scheduled_ = false;
   bool request_in_progress_ = false;
   bool close_after_response_ = false;
   bool continue_sent_ = false;  ///< "100 Continue" was sent for this request.
--- a/src/transport/stream_socket.cc
+++ b/src/transport/stream_socket.cc
@@ -164,7 +164,6 @@
       asio::post(loop_.Io(), [self = shared_from_this(), failed] {
         if (!self->closed_) self->CloseAndNotify(failed);
       });
-      unwritten_.clear();
       return;
     }
     unwritten_.erase(0, count);
--- a/src/transport/stream_socket.h
+++ b/src/transport/stream_socket.h
@@ -43,6 +43,8 @@
 
   /// Writes `bytes`, or buffers what the kernel does not accept at once.
   void Write(std::string bytes);
+  /// Returns true while the kernel has not accepted all bytes, also after a
+  /// write has failed.
   bool HasPendingWrite() const { return !unwritten_.empty(); }
   void Close();
   bool IsClosed() const { return closed_; }
--- /dev/null
+++ b/tests/unit/caller_connection_test.cc
@@ -0,0 +1,192 @@
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "store_standin.h"
+#include "transport/caller_port.h"
+
+namespace papayaglade {
+
+namespace {
+
+using std::chrono::milliseconds;
+using tcp = boost::asio::ip::tcp;
+
+/// Answers each request with the function of a test.
+class scripted_service : public caller_port::service {
+ public:
+  using connection = std::shared_ptr<caller_connection>;
+
+  caller_limits Limits() const override { return limits; }
+  void OnRequest(const connection& from, caller_message message) override {
+    targets.emplace_back(message.target());
+    ++requests;
+    if (answer) return answer(from, message);
+    from->Respond("[" + targets.back() + "]", !message.keep_alive());
+  }
+  void OnMalformed(const connection& from, bool too_large) override {
+    from->Respond(too_large ? "[large]" : "[bad]", true);
+  }
+
+  caller_limits limits;
+  std::function<void(const connection&, const caller_message&)> answer;
+  std::vector<std::string> targets;
+  std::atomic<std::size_t> requests{0};
+};
+
+/// A port whose loop runs on its own thread after Run.
+class port_process {
+ public:
+  explicit port_process(std::size_t max_connections = 16)
+      : port(loop, service, max_connections), address_(FindFreeEndpoint()) {
+    REQUIRE(port.Listen(address_).empty());
+  }
+  ~port_process() {
+    loop.Stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+  void Run() {
+    thread_ = std::thread([this] { loop.Run(); });
+  }
+
+  tcp::endpoint Address() const {
+    return {boost::asio::ip::address_v4::loopback(), address_.port};
+  }
+
+  loop_context loop;
+  scripted_service service;
+  caller_port port;
+
+ private:
+  endpoint address_;
+  std::thread thread_;
+};
+
+/// A blocking connection of a caller.
+class caller {
+ public:
+  explicit caller(const port_process& port, int receive_bytes = 0)
+      : socket_(io_, tcp::v4()) {
+    // Takes effect only before the connect.
+    if (receive_bytes > 0) {
+      socket_.set_option(
+          boost::asio::socket_base::receive_buffer_size(receive_bytes));
+    }
+    socket_.connect(port.Address());
+  }
+
+  /// Returns whether all bytes were sent.
+  bool Send(const std::string& bytes) {
+    boost::system::error_code failed;
+    boost::asio::write(socket_, boost::asio::buffer(bytes), failed);
+    return !failed;
+  }
+  /// Returns the bytes that arrive, up to `count`.
+  std::string Receive(std::size_t count) {
+    std::string received;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(received),
+                      boost::asio::transfer_exactly(count), end);
+    return received;
+  }
+  /// Returns all bytes that arrive, and sets `end`.
+  std::string ReceiveAll() {
+    std::string received;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(received), end);
+    return received;
+  }
+  void Close() { socket_.close(); }
+
+  boost::system::error_code end;
+
+ private:
+  boost::asio::io_context io_;
+  tcp::socket socket_;
+};
+
+std::string Repeated(const std::string& text, std::size_t count) {
+  std::string out;
+  out.reserve(text.size() * count);
+  for (std::size_t i = 0; i < count; ++i) out += text;
+  return out;
+}
+
+const std::string kLastRequest =
+    "GET /last HTTP/1.1\r\nConnection: close\r\n\r\n";
+
+}  // namespace
+
+// Guards against the end of the process by a recursion for each request.
+TEST_CASE("any number of pipelined requests is answered", "[connection]") {
+  port_process port;
+  // The others arrive while the first one waits for its answer.
+  port.service.answer = [&port](const scripted_service::connection& from,
+                                const caller_message& message) {
+    const bool last = !message.keep_alive();
+    if (message.target() != "/first") {
+      return from->Respond(last ? "[/last]" : "[/a]", last);
+    }
+    port.loop.ScheduleAfter(milliseconds(300), [from](monotonic_time) {
+      from->Respond("[/first]", false);
+    });
+  };
+  port.Run();
+  const std::size_t count = GENERATE(5000, 100000);
+  caller sender(port);
+  std::thread sending([&] {
+    sender.Send("GET /first HTTP/1.1\r\n\r\n" +
+                Repeated("GET /a HTTP/1.1\r\n\r\n", count) + kLastRequest);
+  });
+  const std::string received = sender.ReceiveAll();
+  sending.join();
+  CHECK(received == "[/first]" + Repeated("[/a]", count) + "[/last]");
+}
+
+// Guards against a connection that keeps all others waiting.
+TEST_CASE("pipelined requests leave other connections a turn", "[connection]") {
+  port_process port;
+  caller many(port);
+  caller single(port);
+  // All bytes have arrived before the port reads the first.
+  many.Send(Repeated("GET /a HTTP/1.1\r\n\r\n", 3000));
+  single.Send("GET /b HTTP/1.1\r\n\r\n");
+  REQUIRE(RunUntil(port.loop, [&] { return port.service.requests == 3001; }));
+  const auto& targets = port.service.targets;
+  const auto other = std::find(targets.begin(), targets.end(), "/b");
+  CHECK(other - targets.begin() < 1000);
+}
+
+// Guards against memory that a caller fills by not reading its answers.
+TEST_CASE("answers that are not read hold back the next request",
+          "[connection]") {
+  constexpr std::size_t kAnswerBytes = 64UL * 1024;
+  constexpr std::size_t kMaxHeldAnswers = 32UL * 1024 * 1024 / kAnswerBytes;
+  constexpr std::size_t kCount = 3000;
+  port_process port;
+  port.service.answer = [](const scripted_service::connection& from,
+                           const caller_message&) {
+    from->Respond(std::string(kAnswerBytes, 'x'), false);
+  };
+  port.Run();
+  caller slow(port, 16 * 1024);
+  std::thread sending(
+      [&] { slow.Send(Repeated("GET /a HTTP/1.1\r\n\r\n", kCount)); });
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK(port.service.requests < kMaxHeldAnswers);
+  // All of them are answered to a caller that reads.
+  const std::string received = slow.Receive(kCount * kAnswerBytes);
+  sending.join();
+  CHECK(received.size() == kCount * kAnswerBytes);
+}
+
+}  // namespace papayaglade
