--- a/tests/unit/http_server_test.cc
+++ b/tests/unit/http_server_test.cc
@@ -105,6 +105,27 @@
   CHECK(Serves(server.Port()));
 }
 
+// Guards against the end of the process by a recursion for each request.
+TEST_CASE("a caller may pipeline any number of requests", "[http]") {
+  constexpr std::size_t kCount = 20000;
+  test_server server(port_limits(), Echo);
+  const raw_caller many(server.Port());
+  std::thread sending([&] {
+    std::string requests;
+    for (std::size_t i = 0; i < kCount; ++i) requests += kRequest;
+    many.Send(requests +
+              "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  });
+  const std::string received = many.ReadAll();
+  sending.join();
+  std::size_t answers = 0;
+  for (std::size_t at = received.find("200 OK"); at != std::string::npos;
+       at = received.find("200 OK", at + 1)) {
+    ++answers;
+  }
+  CHECK(answers == kCount + 1);
+}
+
 TEST_CASE("connections over the limit are closed, others are served") {
   port_limits limits;
   limits.connections = 2;
