Reproduce the answers lost at planned stops in a soak of real processes

No test played planned stops with long work and connections that stay open.

`--only stops` runs entry processes that get SIGTERM alone, in series, in overlap and one after the other in the whole data centre, and SIGKILL after 6 s. Upstreams work like the users' (lognormal, mean 0.22 s, at most 1.3 s); by seed a quarter of the work takes longest, routes time out after 1.1 s, upstreams have 2, 4 or 16 slots or are 8 times slower. Callers keep connections busy or idle and send at any moment of the grace; new connections go through a balancer that uses all instances of a data centre when fewer than half are in rotation.

No late request ended unread, and each process exited with code 0 within the grace. A first version with calm upstreams of 16 slots only lost nothing in 40 stops: the fault needs long work or queues at upstreams.

scripts/test.sh runs these two seeds; KNOWN-RED.txt lists them until the fix, and soak runs are passed over only if listed by their exact arguments.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -20,7 +20,7 @@
 excluded_tests=()
 while IFS='|' read -r name _; do
   name=$(echo "$name" | xargs)
-  [[ -z $name || $name == \#* || $name == *.scenario ]] && continue
+  [[ -z $name || $name == \#* || $name == *.scenario || $name == "soak "* ]] && continue
   echo "known red: $name"
   name=${name//,/\\,} # Catch2 separates the patterns of a filter by commas
   excluded_tests+=("~$name")
@@ -54,10 +54,25 @@
 failed=$((failed + $(count failed) + missing))
 red=$((red + $(count 'known red')))
 
-# A short soak: real entry instances with stand-ins and seeded faults.
+# Short soaks: real entry instances with stand-ins and seeded faults, or with planned stops only.
+soak() { # soak ARGUMENTS: runs a soak, which KNOWN-RED.txt may list as "soak ARGUMENTS"
+  echo "soak $*"
+  PYTHONPATH=tests PYTHONDONTWRITEBYTECODE=1 python3 -m soak --build "$build" "$@"
+  local code=$? listed
+  listed=$(cut -d '|' -f 1 KNOWN-RED.txt 2>/dev/null | sed 's/ *$//' | grep -cFx "soak $*")
+  if [ "$listed" -eq 0 ]; then
+    tally $code
+    return
+  fi
+  echo "known red: soak $*$([ $code -ne 0 ] || echo ' (listed in KNOWN-RED.txt, but passed)')"
+  red=$((red + 1))
+}
 for seed in ${SOAK_SEEDS:-7}; do
-  PYTHONPATH=tests PYTHONDONTWRITEBYTECODE=1 python3 -m soak --build "$build" --seed "$seed" --seconds 5
-  tally $?
+  soak --seed "$seed" --seconds 5
+done
+# Guards against requests that a planned stop cuts while an upstream runs them (issue 23).
+for seed in ${SOAK_STOP_SEEDS:-2 7}; do
+  soak --only stops --seed "$seed" --seconds 8
 done
 
 [ "$missing" -eq 0 ] || echo "$missing scenarios printed no result; they count as failed"
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,3 +1,42 @@
-from .soak import main
+"""Runs a soak of real processes.
+
+    python3 -m soak [--only stops] --build build --seed 7 --seconds 20
+
+Exits with 1 when a guarantee was violated; the logs of the instances stay in
+the folder.
+"""
+
+import argparse
+import asyncio
+import sys
+
+from .soak import Soak
+from .stops import Stops
+
+SHOWN_VIOLATIONS = 20
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--only", choices=["stops"],
+                        help="planned stops in place of all faults")
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--instances", type=int, default=6)
+    parser.add_argument("--folder")
+    arguments = parser.parse_args()
+    soak = Stops(arguments) if arguments.only else Soak(arguments)
+    asyncio.run(soak.run())
+    seed = f"seed {arguments.seed}"
+    print(f"{seed}: {dict(sorted(soak.ledger.counts.items()))}")
+    for each in soak.ledger.violations[:SHOWN_VIOLATIONS]:
+        print(f"{seed}: violated: {each}")
+    if soak.ledger.violations:
+        print(f"{seed}: {len(soak.ledger.violations)} violations, "
+              f"logs in {soak.folder}")
+        sys.exit(1)
+    print(f"{seed}: no violations")
+
 
 main()
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -1,14 +1,25 @@
 """Runs a real entry process behind relays and restarts it when it exits."""
 
 import asyncio
+import dataclasses
 import json
 import os
+import signal
 
 from .http_text import read_message
 from .ports import free_port
 from .relay import Relay
 
 SHUTDOWN_TIMEOUT_S = 6.0
+ZONES = ["kigali", "huye"]
+
+
+@dataclasses.dataclass
+class Lifetime:
+    """One start of an instance's process."""
+    name: str
+    term_s: float | None = None  # when SIGTERM was sent
+    exit_s: float | None = None
 
 
 class Instance:
@@ -19,6 +30,7 @@
         self.ports = {p: free_port() for p in
                       ("callers", "readiness", "control", "metrics")}
         self.process = None
+        self.lifetime = Lifetime(name)
         self.undisturbed_since = 0.0  # last process start or end of a fault
         self.stopping = False
         self.killed = False
@@ -72,10 +84,12 @@
         program = os.path.join(self.soak.build, "papayaglade")
         self.undisturbed_since = self.soak.now()
         self.stopping = self.killed = False
+        self.lifetime = lifetime = Lifetime(self.name)
         self.process = await asyncio.create_subprocess_exec(
             program, "entry", "--settings", self.path, stdout=log, stderr=log)
         log.close()
         code = await self.process.wait()
+        lifetime.exit_s = self.soak.now()
         expected = self.stopping or self.soak.finished
         if not self.killed and (code != 0 or not expected):
             self.soak.ledger.record_violation(
@@ -86,6 +100,22 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def stop(self):
+        """Stops the process as planned work does; returns whether it exited
+        by itself before the end of the grace."""
+        process = self.process
+        self.stopping = True
+        self.lifetime.term_s = self.soak.now()
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), SHUTDOWN_TIMEOUT_S)
+            return True
+        except asyncio.TimeoutError:
+            self.killed = True
+            if process.returncode is None:
+                process.kill()
+            return False
+
     async def ready(self):
         try:
             reader, writer = await asyncio.open_connection(
