Answer each request that is taken before a stopping process ends

What callers saw: requests sent late in a stop, on kept connections, were taken and passed on to an upstream, and ended with a closed connection and no answer when the process ended itself at 0.93 of /bounds/shutdown_s; some of them must not be repeated.

Cause: between 0.75 of the bound, until when idle connections stay open, and 0.93 lies less time than a request may take, and nothing weighed what a request needs against what is left. Nor did a request that was in progress when the stop began have a deadline before the end of the process.

Now shutdown_plan fixes the times of a stop when it begins, and with them which requests may be taken: the time that one needs has to end by 0.9 of the bound. That time is learnt from the longest recent request of the route and from those in progress, with room on top (1.5 times, 3 times if it must not be repeated), and is the whole allowed time for a route with few recent requests. What does not fit is refused at once with 503 (stopping, not run, Retry-After 0). The deadline of every other request moves to 0.9 of the bound: a fan-out with enough parts is merged, a kept failure relayed, what cannot have run gets 503, what may have run 504 (stopped). What is left for the forced end is answers that a caller does not read. A settings reload during a stop no longer moves its times; before, the bound was read anew at each check.

Why it works: each request in progress has a deadline before the forced end, also if the estimate is wrong, so the estimate decides only how many requests get a 504 in place of their answer. It holds for any bound and any timeout of a route.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -14,6 +15,7 @@
 #include "app/store_mirror.h"
 #include "app/store_object_applier.h"
 #include "app/structured_log.h"
+#include "coordination/shutdown_plan.h"
 #include "protocol/entry_settings_codec.h"
 
 namespace papayaglade {
@@ -33,19 +35,8 @@
 constexpr milliseconds kSettingsCheckInterval{1000};
 constexpr milliseconds kShutdownCheckInterval{50};
 constexpr milliseconds kLastFlushLimit{50};
-// Phases of a shutdown after SIGTERM, as shares of the shutdown bound: by the
-// first share the balancer has stopped sending requests, from the second on
-// idle connections are closed, and at the third the process stops in any case.
-constexpr double kBalancerNoticeShare = 0.5;
-constexpr double kCloseIdleShare = 0.75;
-constexpr double kForcedStopShare = 0.93;
 constexpr int kServiceUnavailable = 503;
 
-milliseconds Fraction(double share, milliseconds whole) {
-  return milliseconds(
-      static_cast<std::int64_t>(share * static_cast<double>(whole.count())));
-}
-
 }  // namespace
 
 class entry_instance::implementation {
@@ -132,15 +123,15 @@
   }
 
   bool Ready() const {
-    return !stopping_ && !diverting_ && service_.IsConfigured() &&
+    return !stop_.has_value() && !diverting_ && service_.IsConfigured() &&
            mirror_.Complete();
   }
 
   operators_service::page Readiness() const {
     if (Ready()) return {200, "ready\n"};
-    return {kServiceUnavailable, stopping_    ? "stopping\n"
-                                 : diverting_ ? "upstreams unreachable\n"
-                                              : "no state yet\n"};
+    return {kServiceUnavailable, stop_.has_value() ? "stopping\n"
+                                 : diverting_      ? "upstreams unreachable\n"
+                                                   : "no state yet\n"};
   }
 
   operators_service::page Metrics() const {
@@ -257,7 +248,7 @@
                  log_line("signal").With("number", signal));
       if (signal == SIGHUP) {
         ReloadSettings();
-      } else if (!stopping_) {
+      } else if (!stop_.has_value()) {
         BeginShutdown();
       }
       AwaitSignal();
@@ -265,9 +256,8 @@
   }
 
   void BeginShutdown() {
-    stopping_ = true;
-    shutdown_start_ = loop_context::Now();
-    service_.BeginStop(shutdown_start_);
+    stop_.emplace(loop_context::Now(), settings_.bounds.shutdown_timeout);
+    service_.BeginStop(*stop_);
     registry_.Leave();
     mirror_.StopServing();
     log_.Write(
@@ -279,16 +269,11 @@
 
   void ScheduleShutdownCheck() {
     loop_.ScheduleAfter(kShutdownCheckInterval, [this](monotonic_time now) {
-      const milliseconds bound = settings_.bounds.shutdown_timeout;
-      const auto passed = now - shutdown_start_;
-      if (passed >= Fraction(kCloseIdleShare, bound)) {
-        callers_.StopAccepting();
-        callers_.CloseIdleConnections();
-      }
-      const bool idle = passed >= Fraction(kBalancerNoticeShare, bound) &&
-                        callers_.ConnectionCount() == 0;
-      if (idle || passed >= Fraction(kForcedStopShare, bound))
-        return StopLoop();
+      if (now >= stop_->ClosePort()) callers_.StopAccepting();
+      if (now >= stop_->CloseIdle()) callers_.CloseIdleConnections();
+      const bool idle =
+          now >= stop_->BalancerNoticed() && callers_.ConnectionCount() == 0;
+      if (idle || now >= stop_->ForcedEnd()) return StopLoop();
       ScheduleShutdownCheck();
     });
   }
@@ -329,9 +314,8 @@
   store_object_applier applier_;
   store_mirror mirror_;
   instance_registry registry_;
-  bool stopping_ = false;
   bool diverting_ = false;
-  monotonic_time shutdown_start_;
+  std::optional<shutdown_plan> stop_;  ///< Empty until the stop begins.
 };
 
 entry_instance::entry_instance(std::string settings_file,
--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -106,9 +106,10 @@
     const bool diverted =
         service_.diverting_ && std::holds_alternative<refused_answer>(answer);
     const bool keep_alive =
-        request_->keep_alive && !service_.stop_start_.has_value() && !diverted;
+        request_->keep_alive && !service_.stop_.has_value() && !diverted;
     const bool head = request_->method == "HEAD";
     RecordOutcome(answer);
+    service_.RecordDuration(*this);
     const auto connection = std::move(connection_);
     connection_ = nullptr;
     const auto self = shared_from_this();
@@ -118,6 +119,18 @@
                      !keep_alive, request_->id, run_.Route().name, arrival_);
   }
 
+  // Lets the request end by `time`, because the instance stops then.
+  void FinishBy(monotonic_time time) {
+    run_.FinishBy(time);
+    if (timer_.has_value()) ScheduleTimer();
+  }
+
+  const route& Route() const { return run_.Route(); }
+  bool HasReachedUpstream() const { return run_.Statistics().attempts > 0; }
+  milliseconds Age() const {
+    return std::chrono::duration_cast<milliseconds>(loop_context::Now() -
+                                                    arrival_);
+  }
   // The longest that the request may still take.
   milliseconds TimeAllowed() const {
     return std::chrono::duration_cast<milliseconds>(run_.Deadline() -
@@ -172,6 +185,7 @@
     connection_ = nullptr;
     if (run_.IsDone()) return;
     service_.RecordUnanswered(Owed(), end);
+    service_.RecordDuration(*this);
     run_.Cancel();
     service_.Remove(this);
   }
@@ -269,17 +283,17 @@
                               caller_message message) {
   auto decoded = wire_.DecodeRequest(message);
   if (const auto* refused = std::get_if<refused_answer>(&decoded)) {
-    return Refuse(from, "", *refused, false);
+    return Refuse(from, "", "", *refused, false);
   }
   const auto request = std::make_shared<const entry_request>(
       std::get<entry_request>(std::move(decoded)));
   if (!routes_.has_value()) {
-    return Refuse(from, request->id, {refusal::kNoConfiguration, std::nullopt},
-                  false);
+    return Refuse(from, request->id, "",
+                  {refusal::kNoConfiguration, std::nullopt}, false);
   }
   const route* target = routes_->Find(request->host, request->target);
   if (target == nullptr) {
-    return Refuse(from, request->id, {refusal::kNoRoute, std::nullopt},
+    return Refuse(from, request->id, "", {refusal::kNoRoute, std::nullopt},
                   request->keep_alive);
   }
   CountRequest(target->name, loop_context::Now());
@@ -290,37 +304,43 @@
   context.time_left = request->time_left;
   const auto active = std::make_shared<active_request>(*this, from, request,
                                                        std::move(context));
-  active_.insert(active);
-  if (stop_start_.has_value()) {
+  if (stop_.has_value()) {
+    if (!MayTakeWhileStopping(*active)) {
+      return Refuse(from, request->id, target->name,
+                    {refusal::kStopping, milliseconds(0)}, false);
+    }
+    active->FinishBy(stop_->AnswerBy());
     log_.Write(structured_log::kind::kOwed,
                TakenLine(active->Owed(), active->TimeAllowed()));
   }
+  active_.insert(active);
   active->Start();
 }
 
 void entry_service::OnMalformed(const std::shared_ptr<caller_connection>& from,
                                 bool too_large) {
-  Refuse(from, "",
+  Refuse(from, "", "",
          {too_large ? refusal::kTooLarge : refusal::kMalformed, std::nullopt},
          false);
 }
 
 void entry_service::Refuse(const std::shared_ptr<caller_connection>& to,
-                           const std::string& id, refused_answer answer,
-                           bool keep_alive) {
+                           const std::string& id, const std::string& route,
+                           refused_answer answer, bool keep_alive) {
   request_sample sample;
-  sample.workload = "(none)";
+  sample.workload = route.empty() ? "(none)" : route;
   sample.outcome = RefusalName(answer.cause);
   metrics_.Record(sample);
   log_line line("refused");
   line.With("request", id).With("cause", RefusalName(answer.cause));
+  if (!route.empty()) line.With("route", route);
   if (routes_.has_value()) {
     line.With("configuration", routes_->Configuration()->version);
     line.With("state_age_ms", StateAge());
   }
   log_.Write(structured_log::kind::kFailure, line);
-  const bool keep = keep_alive && !stop_start_.has_value();
-  Deliver(to, wire_.EncodeAnswer(answer, false, keep), !keep, id, "",
+  const bool keep = keep_alive && !stop_.has_value();
+  Deliver(to, wire_.EncodeAnswer(answer, false, keep), !keep, id, route,
           loop_context::Now());
 }
 
@@ -347,9 +367,9 @@
   owed.request = id;
   owed.route = route;
   owed.age = std::chrono::duration_cast<milliseconds>(now - arrival);
-  if (stop_start_.has_value()) {
+  if (stop_.has_value()) {
     owed.stopping =
-        std::chrono::duration_cast<milliseconds>(now - *stop_start_);
+        std::chrono::duration_cast<milliseconds>(now - stop_->Start());
   }
   return owed;
 }
@@ -365,15 +385,35 @@
                             owed, by, std::chrono::system_clock::now()));
 }
 
-void entry_service::BeginStop(monotonic_time now) {
-  stop_start_ = now;
+void entry_service::BeginStop(const shutdown_plan& plan) {
+  stop_ = plan;
   for (const auto& each : active_) {
+    each->FinishBy(plan.AnswerBy());
     log_.Write(structured_log::kind::kOwed,
                OwedAnswerLine("in_progress", each->Owed(), "",
                               std::chrono::system_clock::now()));
   }
 }
 
+// A request in progress shows that one like it may take as long as it has.
+bool entry_service::MayTakeWhileStopping(const active_request& request) const {
+  const monotonic_time now = loop_context::Now();
+  auto longest = durations_.Longest(request.Route().name, now);
+  for (const auto& each : active_) {
+    if (!longest.has_value()) break;
+    if (each->Route().name != request.Route().name) continue;
+    longest = std::max(*longest, each->Age());
+  }
+  return stop_->MayTake(
+      TimeNeeded(longest, request.Route().idempotent, request.TimeAllowed()),
+      now);
+}
+
+void entry_service::RecordDuration(const active_request& ended) {
+  if (!ended.HasReachedUpstream()) return;
+  durations_.Add(ended.Route().name, ended.Age(), loop_context::Now());
+}
+
 void entry_service::CountRequest(const std::string& route, monotonic_time now) {
   if (now - last_halving_ > kRequestCountHalfLife) {
     last_halving_ = now;
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -15,7 +15,9 @@
 #include "app/owed_answer.h"
 #include "app/structured_log.h"
 #include "coordination/request_run.h"
+#include "coordination/route_durations.h"
 #include "coordination/route_table.h"
+#include "coordination/shutdown_plan.h"
 #include "transport/caller_port.h"
 #include "transport/upstream_client.h"
 
@@ -33,10 +35,10 @@
 
   void SetConfiguration(
       std::shared_ptr<const tier_configuration> configuration);
-  /// Closes each connection after its next answer, so that callers reconnect to
-  /// another instance. Logs each request in progress, and from now on each one
-  /// that is taken.
-  void BeginStop(monotonic_time now);
+  /// From now on closes each connection after its next answer, so that callers
+  /// reconnect to another instance, refuses requests that may take longer than
+  /// `plan` leaves them, and answers all others in time.
+  void BeginStop(const shutdown_plan& plan);
   /// Returns whether the routes of more than half of the recent requests cannot
   /// be served because their upstreams are unreachable.
   bool MostRequestsUnservable(monotonic_time now) const;
@@ -64,9 +66,14 @@
   class active_request;
 
   /// Answers with a refusal and records it. `id` is empty when the request
-  /// could not be decoded.
+  /// could not be decoded, `route` when it has none.
   void Refuse(const std::shared_ptr<caller_connection>& to,
-              const std::string& id, refused_answer answer, bool keep_alive);
+              const std::string& id, const std::string& route,
+              refused_answer answer, bool keep_alive);
+  /// Returns whether `request` is sure enough to be answered before the stop.
+  bool MayTakeWhileStopping(const active_request& request) const;
+  /// Learns from a request that has ended how long such a request takes.
+  void RecordDuration(const active_request& ended);
   void Remove(active_request* finished);
   /// Sends an answer, and watches it until it is written.
   void Deliver(const std::shared_ptr<caller_connection>& to, std::string answer,
@@ -98,8 +105,8 @@
   std::map<std::string, double> recent_requests_;
   monotonic_time last_halving_;
   std::function<std::chrono::milliseconds()> state_age_;
-  /// Time at which the stop began; empty until then.
-  std::optional<monotonic_time> stop_start_;
+  std::optional<shutdown_plan> stop_;  ///< Empty until the stop begins.
+  route_durations durations_;
   std::size_t unanswered_ = 0;
   std::size_t unwritten_ = 0;
   bool diverting_ = false;
--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -90,7 +90,10 @@
   }
   open_legs_ = legs_.size();
   for (const leg& each : legs_) policy_.CountRequest(each.service, now);
-  if (now >= deadline_) return Finish(refused_answer{refusal::kExpired, {}});
+  if (now >= deadline_) {
+    if (is_cut_by_stop_) return FinishFailed(now);
+    return Finish(refused_answer{refusal::kExpired, {}});
+  }
   const auto usable = static_cast<std::size_t>(
       std::count_if(legs_.begin(), legs_.end(), [&](const leg& each) {
         return directory_.HasUsable(each.service, now);
@@ -170,6 +173,14 @@
   --open_legs_;
 }
 
+void request_run::FinishBy(monotonic_time time) {
+  if (is_done_ || time >= deadline_) return;
+  is_cut_by_stop_ = true;
+  deadline_ = time;
+  settle_at_ = std::min(settle_at_, time);
+  next_timer_ = std::min(next_timer_, time);
+}
+
 void request_run::Cancel() {
   if (is_done_) return;
   AbandonAll();
@@ -369,10 +380,15 @@
   if (fanout_ == nullptr && failed_reply_.has_value()) {
     return Finish(relayed_answer{std::move(*failed_reply_)});
   }
+  const bool timed_out = now >= deadline_;
   if (MayHaveRun()) {
-    const bool timed_out = now >= deadline_;
-    return Finish(refused_answer{
-        timed_out ? refusal::kTimedOut : refusal::kFailed, std::nullopt});
+    const refusal late =
+        is_cut_by_stop_ ? refusal::kStopped : refusal::kTimedOut;
+    return Finish(
+        refused_answer{timed_out ? late : refusal::kFailed, std::nullopt});
+  }
+  if (timed_out && is_cut_by_stop_) {
+    return Finish(refused_answer{refusal::kStopping, milliseconds(0)});
   }
   const refusal cause =
       last_attempt_number_ > 0 ? refusal::kAllRefused : refusal::kNoUpstream;
--- a/src/coordination/request_run.h
+++ b/src/coordination/request_run.h
@@ -84,6 +84,9 @@
   /// Sends due retries and hedges and finishes when time is up. Call it at
   /// NextTimer or later.
   void OnTimer(monotonic_time now);
+  /// Moves the deadline to `time` if it is later, because the instance stops
+  /// then. NextTimer may change.
+  void FinishBy(monotonic_time time);
   /// Abandons all attempts without calling Finish, because the caller has left.
   void Cancel();
 
@@ -196,6 +199,8 @@
   std::size_t retries_ = 0;
   std::size_t denied_repeats_ = 0;
   std::size_t repeats_without_upstream_ = 0;
+  /// True if the deadline is the end of the instance.
+  bool is_cut_by_stop_ = false;
   bool is_done_ = false;
 };
 
--- /dev/null
+++ b/src/coordination/route_durations.cc
@@ -0,0 +1,63 @@
+#include "coordination/route_durations.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace papayaglade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSpanLength{15000};
+// With fewer requests, the longest says little about the next one.
+constexpr std::size_t kMinRequests = 10;
+constexpr double kIdempotentFactor = 1.5;
+// If a request that must not be repeated runs out of time, its caller never
+// learns what became of it.
+constexpr double kSingleRunFactor = 3;
+// Time for short requests to be held up by others.
+constexpr milliseconds kMinTimeNeeded{50};
+
+std::int64_t SpanNumber(monotonic_time now) {
+  return now.time_since_epoch() / kSpanLength;
+}
+
+}  // namespace
+
+void route_durations::Add(const std::string& route, milliseconds duration,
+                          monotonic_time now) {
+  const std::int64_t number = SpanNumber(now);
+  span& current =
+      spans_by_route_[route].at(static_cast<std::size_t>(number) % kSpans);
+  if (current.number != number) current = {number, 0, milliseconds(0)};
+  ++current.count;
+  current.longest = std::max(current.longest, duration);
+}
+
+std::optional<milliseconds> route_durations::Longest(const std::string& route,
+                                                     monotonic_time now) const {
+  const auto found = spans_by_route_.find(route);
+  if (found == spans_by_route_.end()) return std::nullopt;
+  const std::int64_t oldest =
+      SpanNumber(now) - static_cast<std::int64_t>(kSpans) + 1;
+  span recent;
+  for (const span& each : found->second) {
+    if (each.number < oldest) continue;
+    recent.count += each.count;
+    recent.longest = std::max(recent.longest, each.longest);
+  }
+  if (recent.count < kMinRequests) return std::nullopt;
+  return recent.longest;
+}
+
+milliseconds TimeNeeded(std::optional<milliseconds> longest, bool idempotent,
+                        milliseconds allowed) {
+  if (!longest.has_value()) return allowed;
+  const double factor = idempotent ? kIdempotentFactor : kSingleRunFactor;
+  const milliseconds needed(static_cast<std::int64_t>(
+      factor * static_cast<double>(longest->count())));
+  return std::min(allowed, std::max(kMinTimeNeeded, needed));
+}
+
+}  // namespace papayaglade
--- /dev/null
+++ b/src/coordination/route_durations.h
@@ -0,0 +1,48 @@
+#ifndef PAPAYAGLADE_COORDINATION_ROUTE_DURATIONS_H_
+#define PAPAYAGLADE_COORDINATION_ROUTE_DURATIONS_H_
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "state/time.h"
+
+namespace papayaglade {
+
+/// Learns from the recent requests of each route how long one of them may take.
+class route_durations {
+ public:
+  /// Records that a request of `route` took `duration`, or at least so long.
+  void Add(const std::string& route, std::chrono::milliseconds duration,
+           monotonic_time now);
+
+  /// Returns the longest recent duration of `route`; empty while there are too
+  /// few.
+  std::optional<std::chrono::milliseconds> Longest(const std::string& route,
+                                                   monotonic_time now) const;
+
+ private:
+  /// The requests of one span of time.
+  struct span {
+    std::int64_t number = -1;
+    std::size_t count = 0;
+    std::chrono::milliseconds longest{0};
+  };
+  static constexpr std::size_t kSpans = 4;
+
+  std::map<std::string, std::array<span, kSpans>> spans_by_route_;
+};
+
+/// Returns the time that a request may need, of the `allowed` time at most:
+/// `longest` is the longest that one like it took recently, if that is known. A
+/// request that must not be repeated gets more room than an `idempotent` one.
+std::chrono::milliseconds TimeNeeded(
+    std::optional<std::chrono::milliseconds> longest, bool idempotent,
+    std::chrono::milliseconds allowed);
+
+}  // namespace papayaglade
+
+#endif  // PAPAYAGLADE_COORDINATION_ROUTE_DURATIONS_H_
--- a/src/state/entry_messages.cc
+++ b/src/state/entry_messages.cc
@@ -40,12 +40,17 @@
       return "timed_out";
     case refusal::kExpired:
       return "expired";
+    case refusal::kStopping:
+      return "stopping";
+    case refusal::kStopped:
+      return "stopped";
   }
   return "unknown";
 }
 
 bool IsProvenNotRun(refusal cause) {
-  return cause != refusal::kFailed && cause != refusal::kTimedOut;
+  return cause != refusal::kFailed && cause != refusal::kTimedOut &&
+         cause != refusal::kStopped;
 }
 
 }  // namespace papayaglade
--- a/src/state/entry_messages.h
+++ b/src/state/entry_messages.h
@@ -77,6 +77,8 @@
   kFailed,           ///< May have run; no valid answer was received.
   kTimedOut,         ///< May have run; the deadline has passed.
   kExpired,          ///< The deadline passed before it was sent.
+  kStopping,         ///< Not run; this instance stops before it could end.
+  kStopped,          ///< May have run; this instance stops too soon for it.
 };
 
 /// Returns the stable name of `cause`, such as "no_route".
--- a/tests/unit/platform_wire_format_test.cc
+++ b/tests/unit/platform_wire_format_test.cc
@@ -156,6 +156,8 @@
   CHECK(status(refusal::kTimedOut) == "504");
   CHECK(status(refusal::kNoUpstream) == "503");
   CHECK(status(refusal::kAllRefused) == "503");
+  CHECK(status(refusal::kStopping) == "503");
+  CHECK(status(refusal::kStopped) == "504");
   CHECK(status(refusal::kNoRoute) == "404");
   const std::string text = wire.EncodeAnswer(
       refused_answer{refusal::kNoUpstream, milliseconds(250)}, false, false);
--- /dev/null
+++ b/tests/unit/route_durations_test.cc
@@ -0,0 +1,74 @@
+#include "coordination/route_durations.h"
+
+#include <catch2/catch.hpp>
+
+namespace papayaglade {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr monotonic_time kStart{std::chrono::hours(1)};
+constexpr milliseconds kAllowed{5000};
+
+void AddMany(route_durations& durations, milliseconds duration,
+             monotonic_time from, int count) {
+  for (int i = 0; i < count; ++i)
+    durations.Add("pull", duration, from + milliseconds(10 * i));
+}
+
+}  // namespace
+
+TEST_CASE("a route without enough recent requests may need all allowed time",
+          "[stop]") {
+  route_durations durations;
+  CHECK_FALSE(durations.Longest("pull", kStart).has_value());
+  AddMany(durations, milliseconds(20), kStart, 3);
+  CHECK_FALSE(durations.Longest("pull", kStart).has_value());
+  CHECK(TimeNeeded(std::nullopt, true, kAllowed) == kAllowed);
+  AddMany(durations, milliseconds(20), kStart, 30);
+  CHECK(durations.Longest("pull", kStart) == milliseconds(20));
+  CHECK_FALSE(durations.Longest("book", kStart).has_value());
+}
+
+// Guards against a stop that takes requests by their usual duration although
+// upstreams are slow at present.
+TEST_CASE("one slow request counts until it is a minute old", "[stop]") {
+  route_durations durations;
+  AddMany(durations, milliseconds(20), kStart, 100);
+  durations.Add("pull", milliseconds(1300), kStart + seconds(1));
+  for (int second = 1; second <= 120; ++second) {
+    const monotonic_time now = kStart + seconds(second);
+    AddMany(durations, milliseconds(20), now, 5);
+    const auto longest = durations.Longest("pull", now);
+    REQUIRE(longest.has_value());
+    if (second <= 45) CHECK(*longest == milliseconds(1300));
+    if (second > 61) CHECK(*longest == milliseconds(20));
+  }
+}
+
+TEST_CASE("requests of the distant past say nothing about the next one",
+          "[stop]") {
+  route_durations durations;
+  AddMany(durations, milliseconds(20), kStart, 100);
+  CHECK_FALSE(durations.Longest("pull", kStart + seconds(120)).has_value());
+}
+
+// Guards against cutting off a request that must not be repeated, because it
+// took a little longer than those before it.
+TEST_CASE(
+    "a request that must not be repeated gets more room, but never more "
+    "than it is allowed",
+    "[stop]") {
+  const milliseconds longest(1000);
+  const milliseconds idempotent = TimeNeeded(longest, true, kAllowed);
+  const milliseconds once = TimeNeeded(longest, false, kAllowed);
+  CHECK(idempotent > longest);
+  CHECK(once > idempotent);
+  CHECK(TimeNeeded(longest, true, milliseconds(700)) == milliseconds(700));
+  CHECK(TimeNeeded(longest, false, milliseconds(700)) == milliseconds(700));
+  CHECK(TimeNeeded(milliseconds(0), true, kAllowed) > milliseconds(0));
+}
+
+}  // namespace papayaglade
