Read what waits at the port before a stop closes it

What callers saw: in a stop, a connection that was accepted as the port closed ended without an answer, although its request had been sent.

Cause: the step of the stop that closes the port accepts what waits there. The same step then closed these connections as idle, unread, or, when no other connection was left, ended the process.

Now port_shutdown closes idle connections only in a step after the one that closed the port, and ends the stop only in a step in which the port was already unused, so that the event loop reads from each connection first.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -11,6 +11,7 @@
 #include "app/instance_registry.h"
 #include "app/metrics_registry.h"
 #include "app/operators_service.h"
+#include "app/port_shutdown.h"
 #include "app/service_files.h"
 #include "app/store_mirror.h"
 #include "app/store_object_applier.h"
@@ -269,17 +270,12 @@
 
   void ScheduleShutdownCheck() {
     loop_.ScheduleAfter(kShutdownCheckInterval, [this](monotonic_time now) {
-      if (now >= stop_->ClosePort()) callers_.StopAccepting();
-      if (now >= stop_->CloseIdle()) callers_.CloseIdleConnections();
-      const bool idle =
-          now >= stop_->BalancerNoticed() && callers_.ConnectionCount() == 0;
-      if (idle || now >= stop_->ForcedEnd()) return StopLoop();
+      if (port_shutdown(*stop_, callers_).Advance(now)) return StopLoop();
       ScheduleShutdownCheck();
     });
   }
 
   void StopLoop() {
-    callers_.StopAccepting();
     log_line line("stopped");
     line.With("requests", static_cast<int64_t>(service_.ActiveCount()))
         .With("connections", static_cast<int64_t>(callers_.ConnectionCount()));
--- a/src/transport/caller_port.h
+++ b/src/transport/caller_port.h
@@ -38,6 +38,7 @@
   void StopAccepting();
   /// Closes all connections at once, because the process ends.
   void CloseAllConnections();
+  bool IsListening() const { return acceptor_.is_open(); }
   std::size_t ConnectionCount() const { return connections_.size(); }
 
  private:
