Go on when the reader of the log is gone

What callers saw: nothing was reported; found while looking for every way in which the process can end while it owes answers. If the reader of standard output goes (a log collector that restarts), the next line ends the instance by SIGPIPE, with all its requests and without a last line.

Cause: SIGPIPE had its default action; the sockets suppress it for each write, the log does not.

Now the log ignores SIGPIPE; lines without a reader are dropped and counted like others that are not taken, and the last flush does not wait for them.

Evidence, before: "a log without a reader does not end the process" ended unit_tests by signal 13 (exit 141); a real instance whose standard output was closed answered one request and exited with -13, the next four found no listener. After: the cases of [log] passed, and the same instance answered all five and exited with 0 after SIGTERM.

--- a/src/app/structured_log.cc
+++ b/src/app/structured_log.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <csignal>
 
 namespace papayaglade {
 
@@ -54,7 +55,9 @@
                 {kSuccessesPerSecond, kMaxPendingBytes, 0},
                 {kOwedPerSecond, kMaxPendingOwedBytes, 0}}},
       window_start_(loop_context::Now()) {
-  // A blocked reader of standard output must not block requests.
+  // A blocked reader of standard output must not block requests, and one that
+  // is gone must not end them.
+  std::signal(SIGPIPE, SIG_IGN);
   const int flags = fcntl(descriptor_, F_GETFL);
   if (flags >= 0) fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
 }
@@ -94,7 +97,7 @@
     pollfd output{descriptor_, POLLOUT, 0};
     const int ready = poll(&output, 1, static_cast<int>(left.count()));
     if (ready < 0 && errno != EINTR) return;
-    if (ready > 0 && (output.revents & POLLOUT) == 0) return;
+    if (ready > 0 && output.revents != POLLOUT) return;
     Flush();
   }
 }
--- a/src/app/structured_log.h
+++ b/src/app/structured_log.h
@@ -27,7 +27,7 @@
 /// Writes structured log lines to standard output without blocking. Lines are
 /// kept in a bounded buffer until standard output accepts them, and each kind
 /// of line has a limit per second. Dropped lines are counted, and their number
-/// is logged.
+/// is logged. The process ignores SIGPIPE from then on.
 class structured_log {
  public:
   enum class kind {
--- a/tests/unit/structured_log_test.cc
+++ b/tests/unit/structured_log_test.cc
@@ -19,13 +19,17 @@
  public:
   log_pipe() { REQUIRE(pipe(ends_.data()) == 0); }
   ~log_pipe() {
-    close(ends_[0]);
+    CloseReadEnd();
     close(ends_[1]);
   }
   log_pipe(const log_pipe&) = delete;
   log_pipe& operator=(const log_pipe&) = delete;
 
   int WriteEnd() const { return ends_[1]; }
+  void CloseReadEnd() {
+    if (ends_[0] >= 0) close(ends_[0]);
+    ends_[0] = -1;
+  }
 
   /// Returns what lies in the pipe.
   std::string Read() const {
@@ -100,4 +104,17 @@
   CHECK(loop_context::Now() - start < milliseconds(1000));
 }
 
+// Guards against an instance that a signal ends, with all requests that it
+// owes an answer, because the reader of its log has gone.
+TEST_CASE("a log without a reader does not end the process", "[log]") {
+  log_pipe output;
+  loop_context loop;
+  structured_log log(loop, output.WriteEnd());
+  output.CloseReadEnd();
+  log.Write(structured_log::kind::kEvent, log_line("started"));
+  log.Flush();
+  log.FlushAtEnd(milliseconds(50));
+  SUCCEED("the process goes on");
+}
+
 }  // namespace papayaglade
