Read on after the last answer before the connection is closed

What callers saw: a reset instead of the answer, when they had sent more than the instance had read: a body beyond the limit (413), a head beyond it, bytes that are no request, or a request behind one with Connection: close.

Cause: the connection was closed as soon as the answer was in the kernel. Closing with unread bytes sends a reset, which destroys what is on its way.

Evidence, with real sockets and 2 MiB behind the last request: in 4 of 5 cases the caller's connection ended with ECONNRESET after the answer had reached its kernel over loopback, in the fifth its send failed. After: all five get the answer and an orderly end. A caller that never closes, silent or sending without end, is closed within the 2 s that the test allows.

The fix ends the sending side, reads and drops up to 16 MiB until the caller closes, and closes after 1 s in any case. Beyond 16 MiB the bytes wait in the kernel. Such a connection does not count as idle, so that a stop closes it at the end of that second and not before.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -18,6 +18,11 @@
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
 // Other connections get their turn after this many requests of one.
 constexpr int kMaxRequestsInTurn = 32;
+// Closing a connection with unread bytes resets it, which destroys an answer
+// on its way. After the last answer, bytes are therefore read and dropped until
+// the caller closes the connection, within these limits.
+constexpr std::size_t kMaxDroppedBytes = 16UL * 1024 * 1024;
+constexpr std::chrono::milliseconds kCloseDelay{1000};
 
 }  // namespace
 
@@ -53,11 +58,16 @@
   const auto self = shared_from_this();
   ResetParser();
   ArmTimeout(owner_.Limits().idle_timeout);
+  if (close) {
+    received_.clear();
+    consumed_ = 0;
+    socket_->StartReading();
+  }
   socket_->Write(std::move(bytes));
 }
 
 bool caller_connection::IsIdle() const {
-  return !request_in_progress_ && received_.empty() &&
+  return !request_in_progress_ && !close_after_response_ && received_.empty() &&
          !socket_->HasPendingWrite() && parser_.has_value() &&
          !parser_->got_some();
 }
@@ -82,6 +92,7 @@
 }
 
 void caller_connection::OnBytes(std::string_view bytes) {
+  if (close_after_response_) return Drop(bytes.size());
   received_.append(bytes);
   TakeRequests();
 }
@@ -105,7 +116,7 @@
   taking_requests_ = false;
   received_.erase(0, consumed_);
   consumed_ = 0;
-  if (!closed_) EndTurn();
+  if (!closed_ && !close_after_response_) EndTurn();
 }
 
 void caller_connection::ParseNext() {
@@ -160,12 +171,21 @@
   socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+// The caller's bytes wait in the kernel beyond the limit, so that the caller
+// still has the time to read its answer.
+void caller_connection::Drop(std::size_t bytes) {
+  dropped_bytes_ += bytes;
+  if (dropped_bytes_ > kMaxDroppedBytes) socket_->PauseReading();
+}
+
 void caller_connection::OnEnd() { Close(); }
 
 void caller_connection::OnWritten() {
   if (request_in_progress_ || closed_) return;
-  if (close_after_response_) return Close();
-  TakeRequests();
+  if (!close_after_response_) return TakeRequests();
+  socket_->EndWriting();
+  socket_->StartReading();
+  ArmTimeout(kCloseDelay);
 }
 
 void caller_connection::ArmTimeout(std::chrono::milliseconds delay) {
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -44,8 +44,9 @@
   /// Starts reading requests.
   void Start();
 
-  /// Sends the complete answer `bytes`. If `close` is set, closes the
-  /// connection after they have been written.
+  /// Sends the complete answer `bytes`. If `close` is set, ends the connection
+  /// after they have been written: what the caller still sends is dropped, and
+  /// the connection is closed when the caller closes it or soon after.
   void Respond(std::string bytes, bool close);
 
   /// Sets a handler that is called if the connection closes before Respond.
@@ -78,6 +79,8 @@
   /// Goes on with what is left after a turn: waits for more bytes, or takes
   /// more requests in another turn.
   void EndTurn();
+  /// Drops bytes that arrive after the last request.
+  void Drop(std::size_t bytes);
   void OnEnd();
   void OnWritten();
   void ArmTimeout(std::chrono::milliseconds delay);
@@ -93,6 +96,7 @@
   std::function<void()> on_disconnect_;
   /// Timer of the header or idle timeout; empty if neither is running.
   std::optional<timer_queue::id> timeout_;
+  std::size_t dropped_bytes_ = 0;
   bool taking_requests_ = false;  ///< TakeRequests is running.
   bool needs_more_bytes_ = true;  ///< No whole request has been received.
   bool turn_scheduled_ = false;
--- a/src/transport/stream_socket.cc
+++ b/src/transport/stream_socket.cc
@@ -85,6 +85,11 @@
   if (!waiting_to_write_) WriteBuffered();
 }
 
+void stream_socket::EndWriting() {
+  error_code ignored;  // A broken socket fails at its next read.
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void stream_socket::Close() {
   if (closed_) return;
   closed_ = true;
--- a/src/transport/stream_socket.h
+++ b/src/transport/stream_socket.h
@@ -46,6 +46,8 @@
   /// Returns true while the kernel has not accepted all bytes, also after a
   /// write has failed.
   bool HasPendingWrite() const { return !unwritten_.empty(); }
+  /// Tells the peer that no more bytes follow. Called once all are written.
+  void EndWriting();
   void Close();
   bool IsClosed() const { return closed_; }
 
--- a/tests/unit/caller_connection_test.cc
+++ b/tests/unit/caller_connection_test.cc
@@ -57,6 +57,7 @@
   }
 
   void Run() {
+    loop.Io().restart();
     thread_ = std::thread([this] { loop.Run(); });
   }
 
@@ -189,4 +190,66 @@
   CHECK(received.size() == kCount * kAnswerBytes);
 }
 
+// Guards against a close with unread bytes, which resets the connection and
+// destroys the answer on its way.
+TEST_CASE("a caller that has sent more than was read gets its answer",
+          "[connection]") {
+  port_process port;
+  port.Run();
+  const std::string more(2UL * 1024 * 1024, 'x');
+  const auto [sent, answer] = GENERATE_COPY(table<std::string, std::string>({
+      {"POST /a HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n" + more, "[large]"},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n" +
+           more,
+       "[large]"},
+      {"GET /a HTTP/1.1\r\nX: " + more, "[large]"},
+      {"no request\r\n\r\n" + more, "[bad]"},
+      {kLastRequest + "POST /b HTTP/1.1\r\nContent-Length: 2097152\r\n\r\n" +
+           more,
+       "[/last]"},
+  }));
+  INFO(sent.substr(0, 60));
+  caller sender(port);
+  CHECK(sender.Send(sent));
+  CHECK(sender.ReceiveAll() == answer);
+  CHECK(sender.end == boost::asio::error::eof);
+}
+
+TEST_CASE("a caller that does not close its connection is closed",
+          "[connection]") {
+  port_process port;
+  caller silent(port);
+  caller endless(port);
+  std::atomic<bool> done{false};
+  std::thread sending([&] {
+    const std::string more(64UL * 1024, 'x');
+    while (!done && endless.Send(more)) {
+    }
+  });
+  silent.Send(kLastRequest);
+  REQUIRE(RunUntil(port.loop, [&] { return port.service.requests == 1; }));
+  const monotonic_time start = loop_context::Now();
+  CHECK(RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 0; }));
+  // The end of the process waits for these connections.
+  CHECK(loop_context::Now() - start < milliseconds(2000));
+  done = true;
+  sending.join();
+}
+
+// Guards against a deadlock: the caller reads only after it has sent all.
+TEST_CASE("a long last answer reaches a caller that still sends",
+          "[connection]") {
+  constexpr std::size_t kAnswerBytes = 16UL * 1024 * 1024;
+  port_process port;
+  port.service.answer = [](const scripted_service::connection& from,
+                           const caller_message&) {
+    from->Respond(std::string(kAnswerBytes, 'x'), true);
+  };
+  port.Run();
+  caller sender(port, 16 * 1024);
+  CHECK(sender.Send(kLastRequest + std::string(8UL * 1024 * 1024, 'x')));
+  CHECK(sender.ReceiveAll().size() == kAnswerBytes);
+  CHECK(sender.end == boost::asio::error::eof);
+}
+
 }  // namespace papayaglade
