Read what has arrived before an idle connection is closed

What callers saw: a connection closed although their whole request lay in the instance's socket buffer; and an answer that ended in its middle while they were reading it.

Cause: CloseIdleConnections and the timeouts looked only at what had been read. The idle timeout ran from the moment an answer was handed to the socket, not from the moment it was written.

The test of a loop that is held up past the timeouts guards the same for the header and idle timeouts; it was not run on the old code.

Now a connection is read once more before it is closed, and while an answer is being written the timeout closes it only if the caller took nothing since.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -64,6 +64,7 @@
     socket_->StartReading();
   }
   socket_->Write(std::move(bytes));
+  pending_at_timeout_start_ = socket_->PendingBytes();
 }
 
 bool caller_connection::IsIdle() const {
@@ -72,6 +73,13 @@
          !parser_->got_some();
 }
 
+void caller_connection::CloseIfIdle() {
+  const auto self = shared_from_this();
+  while (IsIdle() && socket_->ReadArrived()) {
+  }
+  if (IsIdle()) Close();
+}
+
 void caller_connection::Close() {
   if (closed_) return;
   closed_ = true;
@@ -182,6 +190,8 @@
 
 void caller_connection::OnWritten() {
   if (request_in_progress_ || closed_) return;
+  const bool was_pending = std::exchange(pending_at_timeout_start_, 0) > 0;
+  if (was_pending) ArmTimeout(owner_.Limits().idle_timeout);
   if (!close_after_response_) return TakeRequests();
   socket_->EndWriting();
   socket_->StartReading();
@@ -192,11 +202,26 @@
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   const std::weak_ptr<caller_connection> weak = weak_from_this();
   timeout_ = loop_.ScheduleAfter(delay, [weak](monotonic_time) {
-    if (const auto self = weak.lock()) {
-      self->timeout_.reset();
-      self->Close();
-    }
+    if (const auto self = weak.lock()) self->OnTimeout();
   });
 }
 
+void caller_connection::OnTimeout() {
+  timeout_.reset();
+  if (socket_->HasPendingWrite()) {
+    // A caller that reads its answer slowly is still there.
+    const std::size_t pending = socket_->PendingBytes();
+    if (pending >= pending_at_timeout_start_) return Close();
+    pending_at_timeout_start_ = pending;
+    return ArmTimeout(owner_.Limits().idle_timeout);
+  }
+  // The loop may have been held up while the bytes arrived that end the wait.
+  const auto waits = [this] {
+    return !closed_ && !request_in_progress_ && !timeout_.has_value();
+  };
+  while (waits() && !close_after_response_ && socket_->ReadArrived()) {
+  }
+  if (waits()) Close();
+}
+
 }  // namespace papayaglade
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -58,6 +58,9 @@
   /// Returns true if no request is in progress, the last answer has been
   /// written, and nothing has been received since.
   bool IsIdle() const;
+  /// Reads what has arrived, and closes the connection if it is idle after
+  /// that.
+  void CloseIfIdle();
   /// Closes the connection at once and calls OnClosed.
   void Close();
 
@@ -84,6 +87,7 @@
   void OnEnd();
   void OnWritten();
   void ArmTimeout(std::chrono::milliseconds delay);
+  void OnTimeout();
   void SendContinueIfExpected();
 
   loop_context& loop_;
@@ -94,9 +98,11 @@
   std::string received_;
   std::size_t consumed_ = 0;
   std::function<void()> on_disconnect_;
-  /// Timer of the header or idle timeout; empty if neither is running.
+  /// Timer of the header, idle or write timeout; empty if none is running.
   std::optional<timer_queue::id> timeout_;
   std::size_t dropped_bytes_ = 0;
+  /// Unwritten bytes when the timeout was started.
+  std::size_t pending_at_timeout_start_ = 0;
   bool taking_requests_ = false;  ///< TakeRequests is running.
   bool needs_more_bytes_ = true;  ///< No whole request has been received.
   bool turn_scheduled_ = false;
--- a/src/transport/caller_port.cc
+++ b/src/transport/caller_port.cc
@@ -42,9 +42,7 @@
 void caller_port::CloseIdleConnections() {
   const std::vector<std::shared_ptr<caller_connection>> all(
       connections_.begin(), connections_.end());
-  for (const auto& each : all) {
-    if (each->IsIdle()) each->Close();
-  }
+  for (const auto& each : all) each->CloseIfIdle();
 }
 
 void caller_port::StopAccepting() {
--- a/src/transport/stream_socket.cc
+++ b/src/transport/stream_socket.cc
@@ -130,15 +130,26 @@
 
 void stream_socket::ReadAvailable() {
   if (paused_) return;
+  const error_code failed = ReadOnce();
+  if (!failed || failed == asio::error::would_block) WaitUntilReadable();
+}
+
+bool stream_socket::ReadArrived() {
+  return !closed_ && !paused_ && !ReadOnce();
+}
+
+error_code stream_socket::ReadOnce() {
   error_code failed;
   auto& buffer = loop_.ReadBuffer();
   const std::size_t count = socket_.read_some(asio::buffer(buffer), failed);
-  if (failed == asio::error::would_block) return WaitUntilReadable();
-  if (failed) return CloseAndNotify(failed);
+  if (failed) {
+    if (failed != asio::error::would_block) CloseAndNotify(failed);
+    return failed;
+  }
   // The handler may call Close, which clears `handlers_`, so a copy is called.
   const auto on_bytes = handlers_.on_bytes;
   if (on_bytes) on_bytes({buffer.data(), count});
-  WaitUntilReadable();
+  return failed;
 }
 
 void stream_socket::CloseAndNotify(error_code failed) {
--- a/src/transport/stream_socket.h
+++ b/src/transport/stream_socket.h
@@ -37,6 +37,9 @@
   void Connect(const endpoint& target, std::chrono::milliseconds timeout,
                std::function<void(boost::system::error_code)> done);
   void StartReading();
+  /// Reads once without waiting, so that bytes that have arrived reach the
+  /// handlers. Returns false if there are none or the connection has ended.
+  bool ReadArrived();
   /// Stops reading until StartReading, so that TCP flow control stops the
   /// sender.
   void PauseReading() { paused_ = true; }
@@ -46,6 +49,7 @@
   /// Returns true while the kernel has not accepted all bytes, also after a
   /// write has failed.
   bool HasPendingWrite() const { return !unwritten_.empty(); }
+  std::size_t PendingBytes() const { return unwritten_.size(); }
   /// Tells the peer that no more bytes follow. Called once all are written.
   void EndWriting();
   void Close();
@@ -56,6 +60,8 @@
   void CancelConnectTimeout();
   void WaitUntilReadable();
   void ReadAvailable();
+  /// Reads once and passes the result to the handlers. Returns the result.
+  boost::system::error_code ReadOnce();
   void CloseAndNotify(boost::system::error_code failed);
   void WriteBuffered();
 
--- a/tests/unit/caller_connection_test.cc
+++ b/tests/unit/caller_connection_test.cc
@@ -252,4 +252,76 @@
   CHECK(sender.end == boost::asio::error::eof);
 }
 
+// Guards against the close of a connection on which a request has arrived that
+// was not read yet.
+TEST_CASE("a request that has arrived is read before idle ones are closed",
+          "[connection]") {
+  port_process port;
+  caller sender(port);
+  caller idle(port);
+  REQUIRE(
+      RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 2; }));
+  sender.Send("GET /a HTTP/1.1\r\n\r\n");
+  port.port.CloseIdleConnections();
+  port.Run();
+  CHECK(sender.Receive(4) == "[/a]");
+  CHECK(idle.ReceiveAll().empty());
+}
+
+TEST_CASE("a request that arrived while the loop was held up is answered",
+          "[connection]") {
+  port_process port;
+  port.service.limits.idle_timeout = milliseconds(50);
+  port.service.limits.header_timeout = milliseconds(50);
+  caller whole(port);
+  caller completed(port);
+  completed.Send("GET /b HTT");
+  REQUIRE(
+      RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 2; }));
+  whole.Send("GET /a HTTP/1.1\r\n\r\n");
+  completed.Send("P/1.1\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(100));
+  port.Run();
+  CHECK(whole.Receive(4) == "[/a]");
+  CHECK(completed.Receive(4) == "[/b]");
+}
+
+// Guards against the end of an answer on its way to a slow reader.
+TEST_CASE("an answer is written to a caller that reads slowly",
+          "[connection]") {
+  constexpr std::size_t kAnswerBytes = 16UL * 1024 * 1024;
+  constexpr std::size_t kPartBytes = kAnswerBytes / 8;
+  port_process port;
+  port.service.limits.idle_timeout = milliseconds(100);
+  const bool close = GENERATE(false, true);
+  port.service.answer = [close](const scripted_service::connection& from,
+                                const caller_message&) {
+    from->Respond(std::string(kAnswerBytes, 'x'), close);
+  };
+  port.Run();
+  caller slow(port, 16 * 1024);
+  slow.Send("GET /a HTTP/1.1\r\n\r\n");
+  std::size_t received = 0;
+  for (int part = 0; part < 8; ++part) {
+    std::this_thread::sleep_for(milliseconds(60));
+    received += slow.Receive(kPartBytes).size();
+  }
+  CHECK(received == kAnswerBytes);
+}
+
+TEST_CASE("a caller that reads nothing is closed", "[connection]") {
+  port_process port;
+  port.service.limits.idle_timeout = milliseconds(100);
+  port.service.answer = [](const scripted_service::connection& from,
+                           const caller_message&) {
+    from->Respond(std::string(32UL * 1024 * 1024, 'x'), false);
+  };
+  caller stuck(port, 16 * 1024);
+  stuck.Send("GET /a HTTP/1.1\r\n\r\n");
+  REQUIRE(RunUntil(port.loop, [&] { return port.service.requests == 1; }));
+  const monotonic_time start = loop_context::Now();
+  CHECK(RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 0; }));
+  CHECK(loop_context::Now() - start < milliseconds(1000));
+}
+
 }  // namespace papayaglade
