Keep a caller's connection while it stops reading for a while

What callers saw: an answer that ended in its middle when they did not read for longer than three seconds.

Cause: TCP_USER_TIMEOUT of 3 s, meant for upstreams that are gone, also counts the probes of a closed window, and so ends the connection of a caller that is there and acknowledges them.

Accepted connections now have 15 s, as long as they may be idle by default. An upstream that is gone is noticed after 3 s as before.

--- a/src/transport/stream_socket.cc
+++ b/src/transport/stream_socket.cc
@@ -30,7 +30,10 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
-constexpr int kUserTimeoutMilliseconds = 3000;
+constexpr std::chrono::milliseconds kConnectedTimeout{3000};
+// An accepted connection is kept for longer: the answer that it is owed must
+// still reach a peer that stops reading or loses its path for a while.
+constexpr std::chrono::milliseconds kAcceptedTimeout{15000};
 
 }  // namespace
 
@@ -39,7 +42,7 @@
 
 stream_socket::stream_socket(loop_context& loop, tcp::socket socket)
     : loop_(loop), socket_(std::move(socket)) {
-  SetSocketOptions();
+  SetSocketOptions(kAcceptedTimeout);
 }
 
 void stream_socket::Connect(const endpoint& target,
@@ -63,7 +66,7 @@
         if (self->closed_) return;
         self->CancelConnectTimeout();
         if (!failed) {
-          self->SetSocketOptions();
+          self->SetSocketOptions(kConnectedTimeout);
           self->StartReading();
         }
         done(failed);
@@ -99,7 +102,8 @@
   socket_.close(ignored);
 }
 
-void stream_socket::SetSocketOptions() {
+void stream_socket::SetSocketOptions(
+    std::chrono::milliseconds unacknowledged_timeout) {
   // Errors are ignored: a broken socket fails at its first read or write.
   error_code ignored;
   socket_.non_blocking(true, ignored);
@@ -108,7 +112,8 @@
   socket_.set_option(keep_alive_idle(kKeepAliveIdleSeconds), ignored);
   socket_.set_option(keep_alive_interval(kKeepAliveIntervalSeconds), ignored);
   socket_.set_option(keep_alive_probes(kKeepAliveProbes), ignored);
-  socket_.set_option(user_timeout(kUserTimeoutMilliseconds), ignored);
+  socket_.set_option(
+      user_timeout(static_cast<int>(unacknowledged_timeout.count())), ignored);
 }
 
 void stream_socket::CancelConnectTimeout() {
--- a/src/transport/stream_socket.h
+++ b/src/transport/stream_socket.h
@@ -56,7 +56,7 @@
   bool IsClosed() const { return closed_; }
 
  private:
-  void SetSocketOptions();
+  void SetSocketOptions(std::chrono::milliseconds unacknowledged_timeout);
   void CancelConnectTimeout();
   void WaitUntilReadable();
   void ReadAvailable();
--- a/tests/unit/caller_connection_test.cc
+++ b/tests/unit/caller_connection_test.cc
@@ -309,6 +309,22 @@
   CHECK(received == kAnswerBytes);
 }
 
+TEST_CASE("an answer reaches a caller that stops reading for a while",
+          "[connection]") {
+  constexpr std::size_t kAnswerBytes = 16UL * 1024 * 1024;
+  port_process port;
+  port.service.answer = [](const scripted_service::connection& from,
+                           const caller_message&) {
+    from->Respond(std::string(kAnswerBytes, 'x'), false);
+  };
+  port.Run();
+  caller slow(port, 16 * 1024);
+  slow.Send("GET /a HTTP/1.1\r\n\r\n");
+  const std::size_t first = slow.Receive(1024).size();
+  std::this_thread::sleep_for(milliseconds(5000));
+  CHECK(first + slow.Receive(kAnswerBytes - first).size() == kAnswerBytes);
+}
+
 TEST_CASE("a caller that reads nothing is closed", "[connection]") {
   port_process port;
   port.service.limits.idle_timeout = milliseconds(100);
