--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -18,6 +18,11 @@
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
 // Other connections get their turn after this many requests of one.
 constexpr int kMaxRequestsInTurn = 32;
+// Closing a connection with unread bytes resets it, which destroys an answer
+// on its way. After the last answer, bytes are therefore read and dropped until
+// the caller closes the connection, within these limits.
+constexpr std::size_t kMaxDroppedBytes = 16UL * 1024 * 1024;
+constexpr std::chrono::milliseconds kCloseDelay{1000};
 
 }  // namespace
 
@@ -54,16 +59,29 @@
   const auto self = shared_from_this();
   ResetParser();
   ArmTimeout(owner_.Limits().idle_timeout);
+  if (close) {
+    received_.clear();
+    consumed_ = 0;
+    socket_->StartReading();
+  }
   answer_unwritten_ = true;
   socket_->Write(std::move(bytes));
+  pending_at_timeout_start_ = socket_->PendingBytes();
 }
 
 bool caller_connection::IsIdle() const {
-  return !request_in_progress_ && received_.empty() &&
+  return !request_in_progress_ && !close_after_response_ && received_.empty() &&
          !socket_->HasPendingWrite() && parser_.has_value() &&
          !parser_->got_some();
 }
 
+void caller_connection::CloseIfIdle() {
+  const auto self = shared_from_this();
+  while (IsIdle() && socket_->ReadArrived()) {
+  }
+  if (IsIdle()) Close();
+}
+
 void caller_connection::Close(connection_end end) {
   if (closed_) return;
   closed_ = true;
@@ -87,6 +105,7 @@
 }
 
 void caller_connection::OnBytes(std::string_view bytes) {
+  if (close_after_response_) return Drop(bytes.size());
   received_.append(bytes);
   TakeRequests();
 }
@@ -110,7 +129,7 @@
   taking_requests_ = false;
   received_.erase(0, consumed_);
   consumed_ = 0;
-  if (!closed_) EndTurn();
+  if (!closed_ && !close_after_response_) EndTurn();
 }
 
 void caller_connection::ParseNext() {
@@ -165,6 +184,13 @@
   socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+// The caller's bytes wait in the kernel beyond the limit, so that the caller
+// still has the time to read its answer.
+void caller_connection::Drop(std::size_t bytes) {
+  dropped_bytes_ += bytes;
+  if (dropped_bytes_ > kMaxDroppedBytes) socket_->PauseReading();
+}
+
 void caller_connection::OnEnd(error_code failed) {
   Close(failed ? connection_end::kCallerReset : connection_end::kCallerClosed);
 }
@@ -173,19 +199,39 @@
   answer_unwritten_ = false;
   on_unwritten_.clear();
   if (request_in_progress_ || closed_) return;
-  if (close_after_response_) return Close();
-  TakeRequests();
+  const bool was_pending = std::exchange(pending_at_timeout_start_, 0) > 0;
+  if (was_pending) ArmTimeout(owner_.Limits().idle_timeout);
+  if (!close_after_response_) return TakeRequests();
+  socket_->EndWriting();
+  socket_->StartReading();
+  ArmTimeout(kCloseDelay);
 }
 
 void caller_connection::ArmTimeout(std::chrono::milliseconds delay) {
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   const std::weak_ptr<caller_connection> weak = weak_from_this();
   timeout_ = loop_.ScheduleAfter(delay, [weak](monotonic_time) {
-    if (const auto self = weak.lock()) {
-      self->timeout_.reset();
-      self->Close(connection_end::kTimeout);
-    }
+    if (const auto self = weak.lock()) self->OnTimeout();
   });
 }
 
+void caller_connection::OnTimeout() {
+  timeout_.reset();
+  if (socket_->HasPendingWrite()) {
+    // A caller that reads its answer slowly is still there.
+    const std::size_t pending = socket_->PendingBytes();
+    if (pending >= pending_at_timeout_start_)
+      return Close(connection_end::kTimeout);
+    pending_at_timeout_start_ = pending;
+    return ArmTimeout(owner_.Limits().idle_timeout);
+  }
+  // The loop may have been held up while the bytes arrived that end the wait.
+  const auto waits = [this] {
+    return !closed_ && !request_in_progress_ && !timeout_.has_value();
+  };
+  while (waits() && !close_after_response_ && socket_->ReadArrived()) {
+  }
+  if (waits()) Close(connection_end::kTimeout);
+}
+
 }  // namespace papayaglade
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -46,8 +46,9 @@
   /// Starts reading requests.
   void Start();
 
-  /// Sends the complete answer `bytes`. If `close` is set, closes the
-  /// connection after they have been written.
+  /// Sends the complete answer `bytes`. If `close` is set, ends the connection
+  /// after they have been written: what the caller still sends is dropped, and
+  /// the connection is closed when the caller closes it or soon after.
   void Respond(std::string bytes, bool close);
 
   /// Sets a handler that is called if the connection closes before Respond.
@@ -67,6 +68,9 @@
   /// Returns true if no request is in progress, the last answer has been
   /// written, and nothing has been received since.
   bool IsIdle() const;
+  /// Reads what has arrived, and closes the connection if it is idle after
+  /// that.
+  void CloseIfIdle();
   /// Closes the connection at once and calls OnClosed.
   void Close(connection_end end = connection_end::kInstance);
   /// Returns why the connection ended. Valid in the handlers that tell of it.
@@ -90,9 +94,12 @@
   /// Goes on with what is left after a turn: waits for more bytes, or takes
   /// more requests in another turn.
   void EndTurn();
+  /// Drops bytes that arrive after the last request.
+  void Drop(std::size_t bytes);
   void OnEnd(boost::system::error_code failed);
   void OnWritten();
   void ArmTimeout(std::chrono::milliseconds delay);
+  void OnTimeout();
   void SendContinueIfExpected();
 
   loop_context& loop_;
@@ -105,8 +112,11 @@
   std::function<void()> on_disconnect_;
   std::vector<std::function<void()>> on_unwritten_;
   connection_end end_ = connection_end::kInstance;
-  /// Timer of the header or idle timeout; empty if neither is running.
+  /// Timer of the header, idle or write timeout; empty if none is running.
   std::optional<timer_queue::id> timeout_;
+  std::size_t dropped_bytes_ = 0;
+  /// Unwritten bytes when the timeout was started.
+  std::size_t pending_at_timeout_start_ = 0;
   bool taking_requests_ = false;  ///< TakeRequests is running.
   bool needs_more_bytes_ = true;  ///< No whole request has been received.
   bool turn_scheduled_ = false;
--- a/tests/unit/caller_connection_test.cc
+++ b/tests/unit/caller_connection_test.cc
@@ -57,6 +57,7 @@
   }
 
   void Run() {
+    loop.Io().restart();
     thread_ = std::thread([this] { loop.Run(); });
   }
 
@@ -189,4 +190,154 @@
   CHECK(received.size() == kCount * kAnswerBytes);
 }
 
+// Guards against a close with unread bytes, which resets the connection and
+// destroys the answer on its way.
+TEST_CASE("a caller that has sent more than was read gets its answer",
+          "[connection]") {
+  port_process port;
+  port.Run();
+  const std::string more(2UL * 1024 * 1024, 'x');
+  const auto [sent, answer] = GENERATE_COPY(table<std::string, std::string>({
+      {"POST /a HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n" + more, "[large]"},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n" +
+           more,
+       "[large]"},
+      {"GET /a HTTP/1.1\r\nX: " + more, "[large]"},
+      {"no request\r\n\r\n" + more, "[bad]"},
+      {kLastRequest + "POST /b HTTP/1.1\r\nContent-Length: 2097152\r\n\r\n" +
+           more,
+       "[/last]"},
+  }));
+  INFO(sent.substr(0, 60));
+  caller sender(port);
+  CHECK(sender.Send(sent));
+  CHECK(sender.ReceiveAll() == answer);
+  CHECK(sender.end == boost::asio::error::eof);
+}
+
+TEST_CASE("a caller that does not close its connection is closed",
+          "[connection]") {
+  port_process port;
+  caller silent(port);
+  caller endless(port);
+  std::atomic<bool> done{false};
+  std::thread sending([&] {
+    const std::string more(64UL * 1024, 'x');
+    while (!done && endless.Send(more)) {
+    }
+  });
+  silent.Send(kLastRequest);
+  REQUIRE(RunUntil(port.loop, [&] { return port.service.requests == 1; }));
+  const monotonic_time start = loop_context::Now();
+  CHECK(RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 0; }));
+  // The end of the process waits for these connections.
+  CHECK(loop_context::Now() - start < milliseconds(2000));
+  done = true;
+  sending.join();
+}
+
+// Guards against a deadlock: the caller reads only after it has sent all.
+TEST_CASE("a long last answer reaches a caller that still sends",
+          "[connection]") {
+  constexpr std::size_t kAnswerBytes = 16UL * 1024 * 1024;
+  port_process port;
+  port.service.answer = [](const scripted_service::connection& from,
+                           const caller_message&) {
+    from->Respond(std::string(kAnswerBytes, 'x'), true);
+  };
+  port.Run();
+  caller sender(port, 16 * 1024);
+  CHECK(sender.Send(kLastRequest + std::string(8UL * 1024 * 1024, 'x')));
+  CHECK(sender.ReceiveAll().size() == kAnswerBytes);
+  CHECK(sender.end == boost::asio::error::eof);
+}
+
+// Guards against the close of a connection on which a request has arrived that
+// was not read yet.
+TEST_CASE("a request that has arrived is read before idle ones are closed",
+          "[connection]") {
+  port_process port;
+  caller sender(port);
+  caller idle(port);
+  REQUIRE(
+      RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 2; }));
+  sender.Send("GET /a HTTP/1.1\r\n\r\n");
+  port.port.CloseIdleConnections();
+  port.Run();
+  CHECK(sender.Receive(4) == "[/a]");
+  CHECK(idle.ReceiveAll().empty());
+}
+
+TEST_CASE("a request that arrived while the loop was held up is answered",
+          "[connection]") {
+  port_process port;
+  port.service.limits.idle_timeout = milliseconds(50);
+  port.service.limits.header_timeout = milliseconds(50);
+  caller whole(port);
+  caller completed(port);
+  completed.Send("GET /b HTT");
+  REQUIRE(
+      RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 2; }));
+  whole.Send("GET /a HTTP/1.1\r\n\r\n");
+  completed.Send("P/1.1\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(100));
+  port.Run();
+  CHECK(whole.Receive(4) == "[/a]");
+  CHECK(completed.Receive(4) == "[/b]");
+}
+
+// Guards against the end of an answer on its way to a slow reader.
+TEST_CASE("an answer is written to a caller that reads slowly",
+          "[connection]") {
+  constexpr std::size_t kAnswerBytes = 16UL * 1024 * 1024;
+  constexpr std::size_t kPartBytes = kAnswerBytes / 8;
+  port_process port;
+  port.service.limits.idle_timeout = milliseconds(100);
+  const bool close = GENERATE(false, true);
+  port.service.answer = [close](const scripted_service::connection& from,
+                                const caller_message&) {
+    from->Respond(std::string(kAnswerBytes, 'x'), close);
+  };
+  port.Run();
+  caller slow(port, 16 * 1024);
+  slow.Send("GET /a HTTP/1.1\r\n\r\n");
+  std::size_t received = 0;
+  for (int part = 0; part < 8; ++part) {
+    std::this_thread::sleep_for(milliseconds(60));
+    received += slow.Receive(kPartBytes).size();
+  }
+  CHECK(received == kAnswerBytes);
+}
+
+TEST_CASE("an answer reaches a caller that stops reading for a while",
+          "[connection]") {
+  constexpr std::size_t kAnswerBytes = 16UL * 1024 * 1024;
+  port_process port;
+  port.service.answer = [](const scripted_service::connection& from,
+                           const caller_message&) {
+    from->Respond(std::string(kAnswerBytes, 'x'), false);
+  };
+  port.Run();
+  caller slow(port, 16 * 1024);
+  slow.Send("GET /a HTTP/1.1\r\n\r\n");
+  const std::size_t first = slow.Receive(1024).size();
+  std::this_thread::sleep_for(milliseconds(5000));
+  CHECK(first + slow.Receive(kAnswerBytes - first).size() == kAnswerBytes);
+}
+
+TEST_CASE("a caller that reads nothing is closed", "[connection]") {
+  port_process port;
+  port.service.limits.idle_timeout = milliseconds(100);
+  port.service.answer = [](const scripted_service::connection& from,
+                           const caller_message&) {
+    from->Respond(std::string(32UL * 1024 * 1024, 'x'), false);
+  };
+  caller stuck(port, 16 * 1024);
+  stuck.Send("GET /a HTTP/1.1\r\n\r\n");
+  REQUIRE(RunUntil(port.loop, [&] { return port.service.requests == 1; }));
+  const monotonic_time start = loop_context::Now();
+  CHECK(RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 0; }));
+  CHECK(loop_context::Now() - start < milliseconds(1000));
+}
+
 }  // namespace papayaglade
