Refuse numbers beyond a double in JSON documents

An instance ended by itself when its settings file was changed to hold a number such as 1e400: the parser throws out_of_range for it, and only parse_error was caught, so the exception left the timer that reloads the settings and ended the process with all requests in progress.

Before: "a number that is too large is reported as a fault" failed, the exception escaped from ParseJson and ParseEntrySettings. ParseJson now reports a fault for it, so the settings are refused and the old ones are kept. A value that is NaN is now out of every range; the comparison was false for it before. NaN can come in CBOR only.

--- a/src/protocol/json_reader.cc
+++ b/src/protocol/json_reader.cc
@@ -42,6 +42,9 @@
     faults.push_back({"", "",
                       "malformed JSON at byte " + std::to_string(e.byte),
                       "mend the JSON syntax there"});
+  } catch (const nlohmann::json::out_of_range&) {
+    faults.push_back(
+        {"", "", "a number is too large", "write numbers of at most 1e308"});
   }
   return nullptr;
 }
@@ -130,7 +133,8 @@
     return std::nullopt;
   }
   const auto number = member->get<double>();
-  if (number < min_value || number > max_value) {
+  // The comparisons are false for NaN.
+  if (!(number >= min_value && number <= max_value)) {
     AddFault(key, member->dump() + " is out of range", remedy);
     return std::nullopt;
   }
--- a/tests/unit/json_reader_test.cc
+++ b/tests/unit/json_reader_test.cc
@@ -1,6 +1,9 @@
 #include "protocol/json_reader.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
+
+#include "protocol/entry_settings_codec.h"
 
 namespace papayaglade {
 
@@ -28,4 +31,28 @@
   CHECK(faults[0].message == "the JSON is nested too deeply");
 }
 
+// Guards against an instance that ends because a settings file that is reloaded
+// holds a number beyond the range of a double.
+TEST_CASE("a number that is too large is reported as a fault", "[foreign]") {
+  for (const char* text : {"1e400", "[-1e999]", R"({"cores":1e309})"}) {
+    fault_list faults;
+    CHECK(ParseJson(text, faults).is_null());
+    REQUIRE(faults.size() == 1);
+    CHECK(faults[0].message == "a number is too large");
+    CHECK_FALSE(faults[0].remedy.empty());
+  }
+  fault_list faults;
+  ParseEntrySettings("entry.json", R"({"cores":1e400})", faults);
+  REQUIRE(faults.size() == 1);
+  CHECK(faults[0].file == "entry.json");
+}
+
+TEST_CASE("a value that is no number is out of every range") {
+  fault_list faults;
+  const nlohmann::json document = {{"x", std::nan("")}};
+  json_reader reader(document, "", faults);
+  CHECK(reader.OptionalNumber("x", 5, 0, 10) == 5);
+  CHECK(faults.size() == 1);
+}
+
 }  // namespace papayaglade
