Reject addresses that contain a NUL

make_address_v4 reads up to the first NUL, so "10.0.0.9\0:80" in an entry of another writer counted as 10.0.0.9:80 and named an upstream.

--- a/src/protocol/entry_settings_codec.cc
+++ b/src/protocol/entry_settings_codec.cc
@@ -87,6 +87,8 @@
   const auto colon = text.rfind(':');
   if (colon == std::string::npos) return std::nullopt;
   const std::string host = text.substr(0, colon);
+  // The parser of addresses ignores what follows a NUL.
+  if (host.find('\0') != std::string::npos) return std::nullopt;
   boost::system::error_code failed;
   boost::asio::ip::make_address_v4(host, failed);
   if (failed) return std::nullopt;
--- a/tests/unit/entry_settings_codec_test.cc
+++ b/tests/unit/entry_settings_codec_test.cc
@@ -53,4 +53,12 @@
   }
 }
 
+// Guards against an address that is taken for another one, because the parser
+// of addresses ignores what follows a NUL.
+TEST_CASE("an address that contains a NUL is rejected", "[settings]") {
+  CHECK_FALSE(ParseEndpoint(std::string("10.0.0.1\0:80", 12)).has_value());
+  CHECK_FALSE(ParseEndpoint(std::string("10.0.0.1\0x:80", 13)).has_value());
+  CHECK_FALSE(ParseEndpoint(std::string("10.0.0.1:80\0", 12)).has_value());
+}
+
 }  // namespace papayaglade
