Bound the nesting of CBOR from other instances

A message between instances ended the instance that read it: the CBOR decoder recurses once for each level of arrays, maps and strings of indefinite length, so 3 MB of nested heads of the 8 MB that a link accepts ran out of stack. A document with an impossible length ended it too: the decoder throws out_of_range for it even when exceptions are turned off, and ToStoredObject did not catch that. Numbers that do not fit were narrowed; a revision of 2^64-1 became -1, one of 1e300 was undefined.

--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -19,6 +19,7 @@
 constexpr char kDataCentre[] = "data_centre";
 constexpr char kControl[] = "control";
 constexpr char kCores[] = "cores";
+constexpr double kMaxCores = 1024;
 
 json EncodePositions(const std::vector<mirror_position>& positions) {
   json out = json::array();
@@ -34,8 +35,8 @@
   std::vector<mirror_position> positions;
   for (std::size_t i = 0; i < in.size(); i += 3) {
     positions.push_back({DecodeEnum(in.at(i), stored_kind::kInstances),
-                         in.at(i + 1).get<std::int64_t>(),
-                         in.at(i + 2).get<std::uint64_t>()});
+                         DecodeInteger<std::int64_t>(in.at(i + 1)),
+                         DecodeInteger<std::uint64_t>(in.at(i + 2))});
   }
   return positions;
 }
@@ -84,13 +85,19 @@
   }
 };
 
+// Returns 0, as for an unknown number, if the number cannot be right.
+double DecodeCores(const json& in) {
+  const double cores = in.is_number() ? in.get<double>() : 0;
+  return cores >= 0 && cores <= kMaxCores ? cores : 0;
+}
+
 mirror_page DecodePage(const json& in) {
   mirror_page page;
   page.kind = DecodeEnum(in.at(1), stored_kind::kInstances);
   page.content = DecodeEnum(in.at(2), page_content::kDifference);
-  in.at(3).get_to(page.from);
-  in.at(4).get_to(page.to);
-  in.at(5).get_to(page.base);
+  page.from = DecodeInteger<std::int64_t>(in.at(3));
+  page.to = DecodeInteger<std::int64_t>(in.at(4));
+  page.base = DecodeInteger<std::uint64_t>(in.at(5));
   const json& objects = in.at(6);
   for (std::size_t i = 0; i < objects.size(); i += 3) {
     mirrored_object object;
@@ -112,7 +119,7 @@
     members.at(i + 1).get_to(member.data_centre);
     const auto control = ParseEndpoint(members.at(i + 2).get<std::string>());
     member.control = control.value_or(endpoint());
-    members.at(i + 3).get_to(member.cores);
+    member.cores = DecodeCores(members.at(i + 3));
     report.members.push_back(std::move(member));
   }
   return report;
@@ -145,8 +152,14 @@
 }
 
 mirrored_object ToMirroredObject(const stored_object& object) {
-  const bool gone = object.deleted;
-  return {object.name, gone, gone ? "" : EncodeCbor(object.content)};
+  if (object.deleted) return {object.name, true, ""};
+  if (object.unreadable.empty()) {
+    return {object.name, false, EncodeCbor(object.content)};
+  }
+  // JSON has no binary values, so one cannot be mistaken for content.
+  const std::string& why = object.unreadable;
+  return {object.name, false,
+          EncodeCbor(json::binary({why.begin(), why.end()}))};
 }
 
 stored_object ToStoredObject(const mirrored_object& object) {
@@ -154,8 +167,15 @@
   result.name = object.name;
   result.deleted = object.deleted;
   if (object.deleted) return result;
-  result.content = json::from_cbor(object.document, true, false);
-  if (result.content.is_discarded()) result.content = nullptr;
+  auto content = DecodeCbor(object.document);
+  if (!content.has_value()) {
+    result.unreadable = "malformed CBOR";
+  } else if (content->is_binary()) {
+    const json::binary_t& why = content->get_binary();
+    result.unreadable.assign(why.begin(), why.end());
+  } else {
+    result.content = std::move(*content);
+  }
   return result;
 }
 
@@ -183,9 +203,7 @@
     member.control = address.value_or(endpoint());
   }
   const auto cores = content.find(kCores);
-  if (cores != content.end() && cores->is_number()) {
-    member.cores = cores->get<double>();
-  }
+  if (cores != content.end()) member.cores = DecodeCores(*cores);
   return member;
 }
 
--- a/src/protocol/mirror_codec.h
+++ b/src/protocol/mirror_codec.h
@@ -15,9 +15,11 @@
 /// Returns std::nullopt if `bytes` is not a well-formed message.
 std::optional<mirror_message> DecodeMirrorMessage(const std::string& bytes);
 
-/// Converts an object of the store to the form that instances exchange.
+/// Converts an object of the store to the form that instances exchange. The
+/// reason why an object is unreadable is kept.
 mirrored_object ToMirroredObject(const stored_object& object);
-/// Reverses ToMirroredObject. Content that is not valid CBOR becomes null.
+/// Reverses ToMirroredObject. A document that is not valid CBOR
+/// becomes an unreadable object.
 stored_object ToStoredObject(const mirrored_object& object);
 
 /// Encodes the entry that an instance writes about itself to the store.
--- a/src/protocol/store_format.h
+++ b/src/protocol/store_format.h
@@ -23,7 +23,10 @@
 struct stored_object {
   std::string name;
   bool deleted = false;
-  nlohmann::json content;
+  /// Null if the object is unreadable.
+  nlohmann::json content{};
+  /// Why the object cannot be read; empty if it can.
+  std::string unreadable{};
 };
 
 /// The reply to a list or a watch.
--- a/tests/unit/mirror_codec_test.cc
+++ b/tests/unit/mirror_codec_test.cc
@@ -1,6 +1,7 @@
 #include "protocol/mirror_codec.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <random>
 
 namespace papayaglade {
@@ -90,6 +91,90 @@
   CHECK(DecodeMember({"c", false, {{"control", 7}}}).control.port == 0);
 }
 
+// Guards against an instance that ends because another one forwards a document
+// or sends a message that is nested deeper than the stack allows.
+TEST_CASE("CBOR that is nested too deeply is rejected", "[mirror][foreign]") {
+  constexpr std::size_t kLevels = 3'000'000;
+  const auto repeat = [](const std::string& text) {
+    std::string bytes;
+    bytes.reserve(kLevels * text.size());
+    for (std::size_t i = 0; i < kLevels; ++i) bytes += text;
+    return bytes;
+  };
+  // Arrays and maps of definite and indefinite length, and text and bytes of
+  // indefinite length, of which each part may be of indefinite length too.
+  for (const std::string& text :
+       {std::string("\x81"), std::string("\x98\x01"), std::string("\x9f"),
+        std::string("\xa1\x61\x61"), std::string("\xbf\x61\x61"),
+        std::string("\x7f"), std::string("\x5f"),
+        std::string("\x9b\x00\x00\x00\x00\x00\x00\x00\x01", 9),
+        std::string("\x82\x01"), std::string("\x9f\x80")}) {
+    const std::string bytes = repeat(text);
+    CHECK_FALSE(DecodeMirrorMessage(bytes).has_value());
+    CHECK_FALSE(DecodeMirrorMessage("\x82\x01" + bytes).has_value());
+    CHECK(ToStoredObject({"i-1", false, bytes}).content.is_null());
+    CHECK(ToStoredObject({"i-1", false, "\x81" + bytes}).content.is_null());
+  }
+}
+
+TEST_CASE("CBOR with impossible lengths is rejected", "[mirror][foreign]") {
+  const std::string length = "\xff\xff\xff\xff\xff\xff\xff\xff";
+  const std::string half = "\x7f\xff\xff\xff\xff\xff\xff\xff";
+  for (const char* head : {"\x5b", "\x7b", "\x9b", "\xbb", "\xdb"}) {
+    CHECK_FALSE(DecodeMirrorMessage(head + length).has_value());
+    CHECK(ToStoredObject({"i-1", false, head + length}).content.is_null());
+    CHECK(ToStoredObject({"i-1", false, head + half}).content.is_null());
+  }
+}
+
+TEST_CASE(
+    "an object nested as deeply as the store's decoder allows is "
+    "unchanged after mirroring",
+    "[mirror]") {
+  nlohmann::json content = 1;
+  for (int i = 0; i < 31; ++i) {
+    content = {{"a", nlohmann::json::array({content, "x"})}};
+  }
+  const stored_object object{"i-1", false, content};
+  CHECK(ToStoredObject(ToMirroredObject(object)).content == content);
+}
+
+// Guards against revisions that are narrowed to others, after which a copy
+// would ignore all changes.
+TEST_CASE("numbers out of range in mirror messages are rejected",
+          "[mirror][foreign]") {
+  using nlohmann::json;
+  const auto decodes = [](const json& message) {
+    const auto bytes = json::to_cbor(message);
+    return DecodeMirrorMessage({bytes.begin(), bytes.end()}).has_value();
+  };
+  const json objects = json::array();
+  CHECK(decodes({1, 1, 0, 5, 9, 7, objects}));
+  for (const json& each :
+       {json(UINT64_MAX), json(1e300), json(5.5), json("5"), json(nullptr),
+        json(true), json(9223372036854775808ULL)}) {
+    CHECK_FALSE(decodes({1, 1, 0, each, 9, 7, objects}));
+    CHECK_FALSE(decodes({1, 1, 0, 5, each, 7, objects}));
+    CHECK_FALSE(decodes({0, "entry-1", {1, each, 7}}));
+  }
+  for (const json& each : {json(1e300), json(-1), json(5.5), json("5")}) {
+    CHECK_FALSE(decodes({1, 1, 0, 5, 9, each, objects}));
+    CHECK_FALSE(decodes({0, "entry-1", {1, 5, each}}));
+  }
+  for (const json& each : {json(4294967297ULL), json(-1), json(1.0)}) {
+    CHECK_FALSE(decodes({1, each, 0, 5, 9, 7, objects}));
+    CHECK_FALSE(decodes({each, 1, 0, 5, 9, 7, objects}));
+  }
+}
+
+TEST_CASE("impossible numbers of cores count as unknown", "[mirror][foreign]") {
+  for (const double each : {std::nan(""), -1.0, 1e308, HUGE_VAL}) {
+    const fleet_member member{"a", "kigali", {"10.0.0.1", 80}, each};
+    CHECK(DecodeMember(EncodeMember(member)).cores == 0);
+    CHECK(RoundTrip(fleet_report{{member}}).members.at(0).cores == 0);
+  }
+}
+
 TEST_CASE("corrupted mirror messages never crash the decoder", "[mirror]") {
   std::mt19937 random(kSeed);
   const std::string good = EncodeMirrorMessage(ExamplePage());
