Bound the nesting of objects of the library's platform

`papayaglade serve` writes the value of an object that it has read back to text, which recurses once for each level. The reply is now parsed with the depth limit that other documents have, kMaxJsonDepth.

Before: "an object of the platform that is nested too deeply is rejected" ended with SIGSEGV. It passes now.

--- a/src/protocol/platform_codec.cc
+++ b/src/protocol/platform_codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "protocol/json_reader.h"
+
 namespace papayaglade {
 
 namespace {
@@ -131,7 +133,8 @@
                         reply.status == platform_status::kConflict;
   if (!has_body) return reply;
   try {
-    const json document = json::parse(body);
+    fault_list faults;
+    const json document = ParseJson(body, faults);
     std::visit(answer_reader{document, reply}, operation);
   } catch (const json::exception&) {
     reply = platform_reply{};
