End a list whose pages bring nothing new

After a page with names, an empty page that announced more made the feed start the list again from the first page, without a pause and for ever: the list was never complete, no change was learnt, and the memory for listed objects grew. A history that was gone at every watch led to lists without a pause in the same way.

An empty page now ends the list, and a list after a second 410 in a row waits 500 ms.

--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -1,6 +1,7 @@
 #include "coordination/feed_plan.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayaglade {
 
@@ -21,6 +22,8 @@
 // An answer this long is only a part of the waiting changes, so the rest is
 // fetched at once.
 constexpr std::size_t kMinBacklogEvents = 30;
+// Used if the history is gone again before any watch was answered.
+constexpr milliseconds kRepeatedListDelay{500};
 constexpr milliseconds kInitialBackoff{100};
 constexpr milliseconds kMaxBackoff{800};
 
@@ -43,12 +46,15 @@
   // Keeps the revision of the first page: changes made while the other pages
   // are fetched arrive again with the watch.
   if (last_name_.empty()) revision_ = revision;
-  is_listing_ = more && last_name != last_name_;
+  // The next page would repeat this one or the first.
+  const bool advanced = !last_name.empty() && last_name != last_name_;
+  is_listing_ = more && advanced;
   last_name_ = is_listing_ ? last_name : "";
   return milliseconds(0);
 }
 
 milliseconds feed_plan::OnEvents(std::int64_t revision, std::size_t count) {
+  history_gone_ = false;
   last_call_failed_ = false;
   backoff_ = milliseconds(0);
   revision_ = std::max(revision_, revision);
@@ -62,7 +68,8 @@
   backoff_ = milliseconds(0);
   is_listing_ = true;
   last_name_.clear();
-  return milliseconds(0);
+  const bool repeated = std::exchange(history_gone_, true);
+  return repeated ? kRepeatedListDelay : milliseconds(0);
 }
 
 void feed_plan::SkipTo(std::int64_t revision) {
--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -53,6 +53,8 @@
   std::int64_t revision_ = 0;
   bool is_listing_ = true;
   bool last_call_failed_ = false;
+  /// The history was gone, and no watch has been answered since.
+  bool history_gone_ = false;
   std::chrono::milliseconds backoff_{0};
 };
 
--- a/tests/unit/feed_plan_test.cc
+++ b/tests/unit/feed_plan_test.cc
@@ -39,6 +39,26 @@
   CHECK_FALSE(plan.Next().is_list);
 }
 
+// Guards against a list that begins again for ever and is never complete.
+TEST_CASE("an empty page ends the list, even if it announces more", "[feed]") {
+  feed_plan plan(kWait);
+  plan.OnPage(100, true, "m");
+  plan.OnPage(100, true, "");
+  CHECK_FALSE(plan.Next().is_list);
+  CHECK(plan.Next().revision == 100);
+}
+
+TEST_CASE("a history that is gone again and again is not listed in a loop",
+          "[feed]") {
+  feed_plan plan = WatchingPlan();
+  CHECK(plan.OnHistoryGone() == milliseconds(0));
+  plan.OnPage(300, false, "z");
+  CHECK(plan.OnHistoryGone() > milliseconds(0));
+  plan.OnPage(300, false, "z");
+  plan.OnEvents(301, 1);
+  CHECK(plan.OnHistoryGone() == milliseconds(0));
+}
+
 TEST_CASE("the list is fetched again when the history is gone", "[feed]") {
   feed_plan plan = WatchingPlan();
   plan.OnHistoryGone();
