Let an unreadable entry of the store affect that entry only

One entry of another writer ended every instance, again at each restart, so that callers got no answer at all (nested 200,000 levels deep: copying and encoding an object recurse once for each level), or hid all later changes of its kind for as long as it was there (a number beyond a double, text that is not UTF-8, a lone surrogate: the page was parsed as one document and discarded as a whole). Requests then went to upstreams that were leaving and were lost with them.

An entry beyond them or malformed is kept by its name as unreadable: it names no upstream and replaces an earlier one of its name. Each such change is logged once, with reason and remedy, and counted in papayaglade_unreadable_entries_total.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -155,6 +155,10 @@
     }
     text += "papayaglade_store_calls_total " +
             std::to_string(mirror_.StoreCallCount()) + "\n";
+    text += "papayaglade_unreadable_entries_total " +
+            std::to_string(applier_.UnreadableCount() +
+                           mirror_.UnnamedEntryCount()) +
+            "\n";
     text += "papayaglade_followers " + std::to_string(mirror_.FollowerCount()) +
             "\n";
     return {200, text};
--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -104,7 +104,8 @@
   if (!std::exchange(registration_started_, true)) Register();
   const bool answered =
       !result.failure.has_value() && result.message.result_int() == kStatusOk;
-  const auto page = answered ? format_.DecodeList(result.message.body())
+  const auto page = answered ? format_.DecodeList(stored_kind::kInstances,
+                                                  result.message.body())
                              : std::optional<store_page>();
   if (!page.has_value()) {
     log_.Write(
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -9,6 +9,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kConnectTimeout{1000};
+// Bounds the memory that one list takes.
+constexpr std::size_t kMaxListedObjects = 100'000;
 constexpr int kStatusOk = 200;
 constexpr int kStatusGone = 410;
 
@@ -87,8 +89,7 @@
     listed_objects_.clear();
     return ScheduleCall(plan_.OnHistoryGone());
   }
-  if (!completed.is_list)
-    return OnEvents(completed.revision, result.message.body());
+  if (!completed.is_list) return OnEvents(completed, result.message.body());
   if (plan_.IsListing()) return OnList(result.message.body());
   // The state came from another source while the list was pending.
   RecordAnswer();
@@ -96,14 +97,15 @@
 }
 
 void store_feed::OnList(const std::string& body) {
-  auto page = format_.DecodeList(body);
+  auto page = format_.DecodeList(kind_, body);
   if (!page.has_value()) return HandleFailure("unreadable list");
   RecordAnswer();
-  const std::string last =
-      page->objects.empty() ? "" : page->objects.back().name;
+  CountUnnamed(*page);
   for (stored_object& each : page->objects)
     listed_objects_.push_back(std::move(each));
-  ScheduleCall(plan_.OnPage(page->revision, page->has_more, last));
+  const bool more =
+      page->has_more && listed_objects_.size() < kMaxListedObjects;
+  ScheduleCall(plan_.OnPage(page->revision, more, page->last_name));
   if (plan_.IsListing()) return;
   listed_ = true;
   store_page full_page;
@@ -112,12 +114,26 @@
   handlers_.on_list(full_page);
 }
 
-void store_feed::OnEvents(std::int64_t from, const std::string& body) {
-  const auto page = format_.DecodeEvents(body);
+void store_feed::OnEvents(const feed_plan::call& completed,
+                          const std::string& body) {
+  const auto page = format_.DecodeEvents(kind_, body);
   if (!page.has_value()) return HandleFailure("unreadable events");
   RecordAnswer();
+  CountUnnamed(*page);
   ScheduleCall(plan_.OnEvents(page->revision, page->objects.size()));
-  handlers_.on_events(from, *page);
+  handlers_.on_events(completed.revision, *page);
+}
+
+void store_feed::CountUnnamed(const store_page& page) {
+  if (page.unnamed == 0) return;
+  unnamed_ += page.unnamed;
+  log_.Write(structured_log::kind::kEvent,
+             log_line("store_entries_skipped")
+                 .With("kind", StoredKindName(kind_))
+                 .With("count", static_cast<std::int64_t>(page.unnamed))
+                 .With("revision", page.revision)
+                 .With("why", "no usable name")
+                 .With("remedy", "remove the entries from the store"));
 }
 
 void store_feed::HandleFailure(const char* why) {
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -58,6 +58,8 @@
   /// Returns whether the last call failed.
   bool Lost() const { return plan_.LastCallFailed(); }
   std::uint64_t CallCount() const { return calls_; }
+  /// Returns the number of entries received without a usable name.
+  std::uint64_t UnnamedCount() const { return unnamed_; }
   /// Returns when the store last answered, or the epoch of the clock before the
   /// first answer.
   monotonic_time LastAnswer() const { return last_answer_; }
@@ -67,7 +69,9 @@
   void OnResult(const feed_plan::call& completed,
                 const http_exchange_channel::result& result);
   void OnList(const std::string& body);
-  void OnEvents(std::int64_t from, const std::string& body);
+  void OnEvents(const feed_plan::call& completed, const std::string& body);
+  /// Counts and logs the entries of `page` that have no usable name.
+  void CountUnnamed(const store_page& page);
   void HandleFailure(const char* why);
   void ScheduleCall(std::chrono::milliseconds delay);
   void RecordAnswer();
@@ -90,6 +94,7 @@
   /// Delay of the next call after Resume; empty if none is deferred.
   std::optional<std::chrono::milliseconds> deferred_delay_;
   std::uint64_t calls_ = 0;
+  std::uint64_t unnamed_ = 0;
   monotonic_time last_answer_;
   /// Number of the pending call, or 0 if there is none.
   std::uint64_t pending_call_ = 0;
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -151,6 +151,12 @@
   return calls;
 }
 
+std::uint64_t store_mirror::UnnamedEntryCount() const {
+  std::uint64_t entries = 0;
+  for (const mirrored_kind& each : kinds_) entries += each.feed.UnnamedCount();
+  return entries;
+}
+
 void store_mirror::OnStorePage(std::size_t kind, page_content content,
                                std::int64_t from, const store_page& page) {
   mirror_page mirrored;
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -55,6 +55,8 @@
   /// follows.
   monotonic_time LastAnswer() const { return last_answer_; }
   std::uint64_t StoreCallCount() const;
+  /// Returns the number of the store's entries without a usable name.
+  std::uint64_t UnnamedEntryCount() const;
   std::size_t FollowerCount() const { return followers_.size(); }
 
  private:
--- a/src/app/store_object_applier.cc
+++ b/src/app/store_object_applier.cc
@@ -11,6 +11,9 @@
 // Maximum number of log lines about ready upstreams for one change. If there
 // are more, one further line holds their number.
 constexpr std::size_t kMaxReadyLines = 20;
+// The metric has the number of all unreadable upstreams.
+constexpr std::size_t kMaxUnreadableLines = 20;
+constexpr std::size_t kMaxLoggedNameBytes = 64;
 
 }  // namespace
 
@@ -41,6 +44,7 @@
     fault_list faults;
     auto decoded = format_.DecodeConfiguration(each, faults);
     if (!decoded.has_value()) {
+      ++unreadable_;
       log_.Write(structured_log::kind::kEvent,
                  log_line("configuration_refused")
                      .With("at", faults.front().pointer)
@@ -68,26 +72,33 @@
   service_.SetConfiguration(shared);
 }
 
+const char* store_object_applier::UpstreamChangeName(upstream_change change) {
+  switch (change) {
+    case upstream_change::kReady:
+      return "ready";
+    case upstream_change::kDraining:
+      return "draining";
+    case upstream_change::kGone:
+      return "gone";
+    case upstream_change::kUnreadable:
+      return "unreadable";
+  }
+  return "unknown";
+}
+
 void store_object_applier::OnUpstreams(
     const std::vector<stored_object>& objects) {
   const monotonic_time now = loop_context::Now();
   std::size_t ready = 0;
+  unreadable_lines_ = 0;
   for (const stored_object& each : objects) {
-    std::optional<upstream_record> record;
-    if (!each.deleted) record = DecodeUpstream(each);
-    if (record.has_value()) {
-      directory_.Update(*record, now);
-    } else {
-      directory_.Remove(each.name, now);
-    }
-    const bool is_ready = record.has_value() && !record->leaving;
-    if (is_ready && ++ready > kMaxReadyLines) continue;
+    const upstream_change change = ApplyUpstream(each, now);
+    if (change == upstream_change::kUnreadable) continue;
+    if (change == upstream_change::kReady && ++ready > kMaxReadyLines) continue;
     log_.Write(structured_log::kind::kEvent,
                log_line("upstream_changed")
                    .With("upstream", each.name)
-                   .With("state", is_ready             ? "ready"
-                                  : record.has_value() ? "draining"
-                                                       : "gone"));
+                   .With("state", UpstreamChangeName(change)));
   }
   if (ready <= kMaxReadyLines) return;
   log_.Write(structured_log::kind::kEvent,
@@ -96,14 +107,34 @@
                  .With("known", static_cast<std::int64_t>(directory_.Size())));
 }
 
-std::optional<upstream_record> store_object_applier::DecodeUpstream(
-    const stored_object& object) {
-  auto record = format_.DecodeUpstream(object);
-  if (!record.has_value()) {
-    log_.Write(structured_log::kind::kEvent,
-               log_line("upstream_unreadable").With("name", object.name));
+store_object_applier::upstream_change store_object_applier::ApplyUpstream(
+    const stored_object& object, monotonic_time now) {
+  fault_list faults;
+  std::optional<upstream_record> record;
+  if (!object.deleted) record = format_.DecodeUpstream(object, faults);
+  if (record.has_value()) {
+    directory_.Update(*record, now);
+    return record->leaving ? upstream_change::kDraining
+                           : upstream_change::kReady;
+  }
+  directory_.Remove(object.name, now);
+  if (object.deleted) return upstream_change::kGone;
+  OnUnreadableUpstream(object, faults);
+  return upstream_change::kUnreadable;
+}
+
+void store_object_applier::OnUnreadableUpstream(const stored_object& object,
+                                                const fault_list& faults) {
+  ++unreadable_;
+  if (++unreadable_lines_ > kMaxUnreadableLines) return;
+  log_line line("upstream_unreadable");
+  line.With("name", object.name.substr(0, kMaxLoggedNameBytes));
+  if (!faults.empty()) {
+    line.With("at", faults.front().pointer)
+        .With("why", faults.front().message)
+        .With("remedy", faults.front().remedy);
   }
-  return record;
+  log_.Write(structured_log::kind::kEvent, line);
 }
 
 void store_object_applier::OnClosedDataCentres(
--- a/src/app/store_object_applier.h
+++ b/src/app/store_object_applier.h
@@ -26,17 +26,32 @@
   /// Applies changed objects of one kind; each object occurs once.
   void OnChanges(stored_kind kind, const std::vector<stored_object>& objects);
 
+  /// Returns the number of changes that could not be read as a configuration or
+  /// an upstream.
+  std::uint64_t UnreadableCount() const { return unreadable_; }
+
  private:
+  enum class upstream_change { kReady, kDraining, kGone, kUnreadable };
+
+  static const char* UpstreamChangeName(upstream_change change);
   void OnConfiguration(const std::vector<stored_object>& objects);
   void Apply(tier_configuration configuration);
   void OnUpstreams(const std::vector<stored_object>& objects);
   void OnClosedDataCentres(const std::vector<stored_object>& objects);
-  std::optional<upstream_record> DecodeUpstream(const stored_object& object);
+  /// Applies one object and returns the new state of its upstream.
+  upstream_change ApplyUpstream(const stored_object& object,
+                                monotonic_time now);
+  /// Counts and logs an object that does not describe an upstream.
+  void OnUnreadableUpstream(const stored_object& object,
+                            const fault_list& faults);
 
   const store_format& format_;
   structured_log& log_;
   upstream_directory& directory_;
   entry_service& service_;
+  std::uint64_t unreadable_ = 0;
+  /// Number of unreadable upstreams in the present change.
+  std::size_t unreadable_lines_ = 0;
   /// Version of the configuration in force; -1 before the first.
   std::int64_t version_ = -1;
   /// Names of the closed data centres.
--- a/src/protocol/store_format.h
+++ b/src/protocol/store_format.h
@@ -35,6 +35,11 @@
   std::int64_t revision = 0;  ///< Store revision to watch from.
   /// True if a list is incomplete: list again after the last name.
   bool has_more = false;
+  /// Name of the last entry, also if that entry is left out; empty if no name
+  /// can be read.
+  std::string last_name;
+  /// Number of entries that are left out, because their name cannot be read.
+  std::size_t unnamed = 0;
 };
 
 /// The format of the store's calls and objects.
@@ -57,19 +62,21 @@
   virtual std::string FormatDeleteRequest(stored_kind kind,
                                           const std::string& name) const = 0;
 
-  /// Decodes the reply to a list. Returns std::nullopt if it is malformed.
+  /// Decodes the reply to a list of objects of `kind`. Returns std::nullopt if
+  /// it is malformed as a whole; a malformed object does not affect the others.
   virtual std::optional<store_page> DecodeList(
-      const std::string& body) const = 0;
-  /// Decodes the reply to a watch. Returns std::nullopt if it is malformed.
+      stored_kind kind, const std::string& body) const = 0;
+  /// Decodes the reply to a watch in the same way.
   virtual std::optional<store_page> DecodeEvents(
-      const std::string& body) const = 0;
+      stored_kind kind, const std::string& body) const = 0;
 
   /// Returns std::nullopt and adds faults if the configuration is invalid.
   virtual std::optional<tier_configuration> DecodeConfiguration(
       const stored_object& object, fault_list& faults) const = 0;
-  /// Returns std::nullopt if `object` does not describe an upstream.
+  /// Returns std::nullopt and adds faults if `object` does not describe an
+  /// upstream.
   virtual std::optional<upstream_record> DecodeUpstream(
-      const stored_object& object) const = 0;
+      const stored_object& object, fault_list& faults) const = 0;
 };
 
 }  // namespace papayaglade
--- a/tests/unit/platform_store_format_test.cc
+++ b/tests/unit/platform_store_format_test.cc
@@ -33,7 +33,11 @@
    "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
 std::optional<upstream_record> Upstream(const json& content) {
-  return platform_store_format().DecodeUpstream({"i-1", false, content});
+  fault_list faults;
+  auto record =
+      platform_store_format().DecodeUpstream({"i-1", false, content}, faults);
+  CHECK(record.has_value() == faults.empty());
+  return record;
 }
 
 }  // namespace
@@ -72,8 +76,9 @@
   CHECK_FALSE(Upstream(json("text")).has_value());
   CHECK_FALSE(Upstream(json()).has_value());
   // This id would end a header line.
+  fault_list faults;
   CHECK_FALSE(platform_store_format()
-                  .DecodeUpstream({"i\r\nX: 1", false, good})
+                  .DecodeUpstream({"i\r\nX: 1", false, good}, faults)
                   .has_value());
 }
 
@@ -115,6 +120,7 @@
 TEST_CASE("lists and events are decoded, malformed ones rejected", "[store]") {
   const platform_store_format store;
   const auto list = store.DecodeList(
+      stored_kind::kUpstreams,
       R"({"items":[{"meta":{"name":"a","revision":3},"spec":{"x":1}},
           "garbage",{"meta":{}},{"meta":{"name":"b"}}],
           "has_more":true,"at":530})");
@@ -125,15 +131,19 @@
   CHECK(list->objects[0].name == "a");
   CHECK(list->objects[0].content["x"] == 1);
   const auto events = store.DecodeEvents(
+      stored_kind::kUpstreams,
       R"({"events":[{"deleted":true,"object":{"meta":{"name":"a"}}},7],
           "at":533})");
   REQUIRE(events.has_value());
   REQUIRE(events->objects.size() == 1);
   CHECK(events->objects[0].deleted);
-  CHECK_FALSE(store.DecodeList("{").has_value());
-  CHECK_FALSE(store.DecodeList("[]").has_value());
-  CHECK_FALSE(store.DecodeEvents(R"({"events":[]})").has_value());
-  CHECK_FALSE(store.DecodeEvents(R"({"events":[],"at":"x"})").has_value());
+  CHECK_FALSE(store.DecodeList(stored_kind::kUpstreams, "{").has_value());
+  CHECK_FALSE(store.DecodeList(stored_kind::kUpstreams, "[]").has_value());
+  CHECK_FALSE(store.DecodeEvents(stored_kind::kUpstreams, R"({"events":[]})")
+                  .has_value());
+  CHECK_FALSE(
+      store.DecodeEvents(stored_kind::kUpstreams, R"({"events":[],"at":"x"})")
+          .has_value());
 }
 
 TEST_CASE("corrupted objects never crash the decoder", "[store]") {
--- a/tests/unit/store_mirror_test.cc
+++ b/tests/unit/store_mirror_test.cc
@@ -92,8 +92,105 @@
   return instances;
 }
 
+// Content that cannot be read, for different reasons.
+std::vector<std::string> UnreadableTexts() {
+  constexpr std::size_t kDeepLevels = 200'000;
+  return {
+      std::string(kDeepLevels, '[') + std::string(kDeepLevels, ']'),
+      R"({"zone":"kigali-\udce9"})",
+      "{\"zone\":\"kigali-\xe9\"}",
+      R"({"warmup_left_ms":1e400})",
+  };
+}
+
+void PutUnreadable(store_standin& store, const std::string& prefix) {
+  std::size_t number = 0;
+  for (const std::string& each : UnreadableTexts()) {
+    store.PutText("servers", prefix + std::to_string(++number), each);
+  }
+}
+
+// Returns the upstreams of `instance` without the unreadable ones.
+std::set<std::string> Readable(const mirrored_instance& instance) {
+  std::set<std::string> names;
+  for (const std::string& each : instance.upstreams) {
+    if (each.rfind("odd", 0) != 0) names.insert(each);
+  }
+  return names;
+}
+
+bool AllRead(const instance_list& instances,
+             const std::set<std::string>& upstreams) {
+  return std::all_of(instances.begin(), instances.end(), [&](const auto& each) {
+    return each->mirror->Complete() && Readable(*each) == upstreams;
+  });
+}
+
 }  // namespace
 
+// Guards against instances that end, or no longer learn of any change, after
+// another writer has left an entry that cannot be read.
+TEST_CASE("unreadable entries end no instance and hide no change",
+          "[mirror][foreign]") {
+  loop_context loop;
+  store_standin store(loop);
+  store.Put("servers", "i-1", json::object());
+  PutUnreadable(store, "odd-listed-");
+  const instance_list instances = MakeInstances(loop, store.Address(), 4);
+  REQUIRE(RunUntil(loop, [&] { return AllRead(instances, {"i-1"}); }));
+  PutUnreadable(store, "odd-watched-");
+  store.Put("servers", "i-2", json::object());
+  store.Delete("servers", "i-1");
+  REQUIRE(RunUntil(loop, [&] { return AllRead(instances, {"i-2"}); }));
+  const instance_list restarted = MakeInstances(loop, store.Address(), 2);
+  CHECK(RunUntil(loop, [&] { return AllRead(restarted, {"i-2"}); }));
+  store.SetDown(true);
+  const mirrored_instance follower(loop, store.Address(), "entry-9", false,
+                                   {instances[0]->SeedText()});
+  CHECK(RunUntil(loop, [&] {
+    return follower.mirror->Complete() &&
+           Readable(follower) == std::set<std::string>{"i-2"};
+  }));
+}
+
+// Guards against followers that never get a state, because all objects in one
+// message are more than a link accepts.
+TEST_CASE(
+    "entries as large as the store allows keep no follower from its "
+    "state",
+    "[mirror][foreign]") {
+  constexpr std::size_t kLargeBytes = 700'000;
+  loop_context loop;
+  store_standin store(loop);
+  store.Put("servers", "i-1", json::object());
+  const mirrored_instance source(loop, store.Address(), "entry-1", false);
+  REQUIRE(RunUntil(loop, [&] { return source.mirror->Complete(); }));
+  for (int i = 0; i < 14; ++i) {
+    const std::string name = "odd-" + std::to_string(i);
+    store.Put("servers", name, {{"x", std::string(kLargeBytes, 'x')}});
+    REQUIRE(RunUntil(loop, [&] { return source.upstreams.count(name) == 1; }));
+  }
+  store.SetDown(true);
+  const mirrored_instance follower(loop, store.Address(), "entry-2", false,
+                                   {source.SeedText()});
+  CHECK(RunUntil(loop, [&] {
+    return follower.mirror->Complete() &&
+           Readable(follower) == std::set<std::string>{"i-1"};
+  }));
+}
+
+// Guards against a list that begins again for ever.
+TEST_CASE("empty pages that announce more end the list", "[mirror][foreign]") {
+  loop_context loop;
+  store_standin store(loop);
+  store.SetLaterPages(store_standin::later_pages::kEmpty);
+  store.Put("servers", "i-1", json::object());
+  const mirrored_instance instance(loop, store.Address(), "entry-1", false);
+  CHECK(RunUntil(loop, [&] { return instance.mirror->Complete(); }));
+  CHECK(instance.upstreams == std::set<std::string>{"i-1"});
+  CHECK(store.ListCount("servers") <= 3);
+}
+
 // Counts the lists and watches that eight instances cause at the store.
 TEST_CASE("two instances watch the store for their data centre", "[mirror]") {
   loop_context loop;
--- a/tests/unit/store_standin.cc
+++ b/tests/unit/store_standin.cc
@@ -71,6 +71,24 @@
   AddEvent(kind, name, false);
 }
 
+void store_standin::PutText(const std::string& kind, const std::string& name,
+                            std::string text) {
+  const std::string mark = "@text-" + std::to_string(texts_.size()) + "@";
+  texts_["\"" + mark + "\""] = std::move(text);
+  Put(kind, name, mark);
+}
+
+std::string store_standin::Format(const json& body) const {
+  std::string text = body.dump();
+  for (const auto& each : texts_) {
+    for (auto at = text.find(each.first); at != std::string::npos;
+         at = text.find(each.first, at + each.second.size())) {
+      text.replace(at, each.first.size(), each.second);
+    }
+  }
+  return text;
+}
+
 void store_standin::Delete(const std::string& kind, const std::string& name) {
   AddEvent(kind, name, true);
   objects_.erase({kind, name});
@@ -123,9 +141,12 @@
     return from->Respond(Answer(200, "{}"), false);
   }
   const std::int64_t since = QueryNumber(target, "watch");
-  if (since < 0) return List(from, kind);
+  if (since < 0)
+    return List(from, kind,
+                target.find("after=&") != std::string::npos ||
+                    target.substr(target.size() - 6) == "after=");
   const watch added{++last_watch_, kind, since, from};
-  if (AnswerWatch(added, false)) return;
+  if (AnswerWatch(added, early_answers_)) return;
   watches_.push_back(added);
   loop_.ScheduleAfter(milliseconds(QueryNumber(target, "wait_ms")),
                       [this, number = added.number](monotonic_time) {
@@ -142,16 +163,19 @@
 }
 
 void store_standin::List(const std::shared_ptr<caller_connection>& to,
-                         const std::string& kind) {
+                         const std::string& kind, bool first_page) {
   ++lists_[kind];
   json items = json::array();
   for (const auto& each : objects_) {
     if (each.first.first != kind) continue;
+    if (later_pages_ == later_pages::kEmpty && !first_page) continue;
     items.push_back(
         {{"meta", {{"name", each.first.second}}}, {"spec", each.second}});
   }
-  const json body = {{"items", items}, {"has_more", false}, {"at", revision_}};
-  to->Respond(Answer(200, body.dump()), false);
+  const json body = {{"items", items},
+                     {"has_more", later_pages_ != later_pages::kNone},
+                     {"at", revision_}};
+  to->Respond(Answer(200, Format(body)), false);
 }
 
 bool store_standin::AnswerWatch(const watch& watch, bool answer_if_empty) {
@@ -163,7 +187,7 @@
   }
   if (events.empty() && !answer_if_empty) return false;
   const json body = {{"events", events}, {"at", revision_}};
-  watch.connection->Respond(Answer(200, body.dump()), false);
+  watch.connection->Respond(Answer(200, Format(body)), false);
   return true;
 }
 
--- a/tests/unit/store_standin.h
+++ b/tests/unit/store_standin.h
@@ -31,15 +31,26 @@
   const endpoint& Address() const { return address_; }
   void Put(const std::string& kind, const std::string& name,
            nlohmann::json content);
+  /// Puts an object whose content is `text` as it stands, whether it is valid
+  /// JSON or not.
+  void PutText(const std::string& kind, const std::string& name,
+               std::string text);
   void Delete(const std::string& kind, const std::string& name);
   /// Refuses all calls while down, including the watches that wait now.
   void SetDown(bool down);
+  /// The pages of a list after the first.
+  enum class later_pages { kNone, kEmpty, kRepeated };
+  /// Makes every page of a list announce another one, unless `pages` is kNone.
+  void SetLaterPages(later_pages pages) { later_pages_ = pages; }
+  /// Makes every watch return at once, with no change.
+  void SetEarlyAnswers(bool early) { early_answers_ = early; }
   /// Refuses the waiting watches on `kind`.
   void RefuseWaitingWatches(const std::string& kind);
 
   /// Returns how often `kind` has been listed.
   std::size_t ListCount(const std::string& kind) const;
   std::size_t WaitingWatchCount(const std::string& kind) const;
+  std::uint64_t WatchCount() const { return last_watch_; }
 
   caller_limits Limits() const override { return {}; }
   void OnRequest(const std::shared_ptr<caller_connection>& from,
@@ -62,7 +73,9 @@
 
   void AddEvent(const std::string& kind, const std::string& name, bool deleted);
   void List(const std::shared_ptr<caller_connection>& to,
-            const std::string& kind);
+            const std::string& kind, bool first_page);
+  /// Returns `body` as text, with the content of PutText in place.
+  std::string Format(const nlohmann::json& body) const;
   /// Answers `watch` with its events. Returns false without answering if there
   /// are none, unless `answer_if_empty` is set.
   bool AnswerWatch(const watch& watch, bool answer_if_empty);
@@ -71,6 +84,10 @@
   endpoint address_;
   caller_port port_;
   bool down_ = false;
+  later_pages later_pages_ = later_pages::kNone;
+  bool early_answers_ = false;
+  /// The content of PutText, keyed by the text that stands for it.
+  std::map<std::string, std::string> texts_;
   std::int64_t revision_ = 100;
   std::uint64_t last_watch_ = 0;
   std::map<std::pair<std::string, std::string>, nlohmann::json> objects_;
