Pause before a watch that brought nothing is repeated

A store that answers watches at once, with no change or with the same revision, was called again without a pause, which uses up the calls that all instances share; the others then get 429. A list of instances whose pages repeat was read for ever, so the instance never learnt how many there are.

The watch is now repeated after 200 ms if it ended before half of its wait without a newer revision; the list of instances ends with a page that brings no new name.

--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -21,6 +21,8 @@
 constexpr milliseconds kCountInterval{6000};
 // Number of instances assumed at least until the startup counts are done.
 constexpr std::size_t kMinStartupInstances = 8;
+// Bounds the memory that the list takes.
+constexpr std::size_t kMaxInstances = 10'000;
 constexpr int kStatusOk = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kStatusConflict = 409;
@@ -121,8 +123,10 @@
   for (const stored_object& each : page->objects) {
     members_[each.name] = DecodeMember(each);
   }
-  if (page->has_more && !page->objects.empty()) {
-    list_after_ = page->objects.back().name;
+  const bool advanced =
+      !page->last_name.empty() && page->last_name != list_after_;
+  if (page->has_more && advanced && members_.size() < kMaxInstances) {
+    list_after_ = page->last_name;
     return Count();
   }
   list_after_.clear();
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -1,5 +1,6 @@
 #include "app/store_feed.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace papayaglade {
@@ -9,6 +10,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kConnectTimeout{1000};
+// Between calls whose answers bring nothing new before the wait is over.
+constexpr milliseconds kRepeatedAnswerDelay{200};
 // Bounds the memory that one list takes.
 constexpr std::size_t kMaxListedObjects = 100'000;
 constexpr int kStatusOk = 200;
@@ -59,6 +62,7 @@
   const feed_plan::call next = plan_.Next();
   const std::uint64_t call = ++calls_;
   pending_call_ = call;
+  call_start_ = loop_context::Now();
   timeout_ = loop_.ScheduleAfter(next.timeout, [this](monotonic_time) {
     timeout_.reset();
     HandleFailure("no answer");
@@ -120,7 +124,12 @@
   if (!page.has_value()) return HandleFailure("unreadable events");
   RecordAnswer();
   CountUnnamed(*page);
-  ScheduleCall(plan_.OnEvents(page->revision, page->objects.size()));
+  milliseconds delay = plan_.OnEvents(page->revision, page->objects.size());
+  const bool early = loop_context::Now() - call_start_ < completed.wait / 2;
+  if (early && page->revision <= completed.revision) {
+    delay = std::max(delay, kRepeatedAnswerDelay);
+  }
+  ScheduleCall(delay);
   handlers_.on_events(completed.revision, *page);
 }
 
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -95,6 +95,7 @@
   std::optional<std::chrono::milliseconds> deferred_delay_;
   std::uint64_t calls_ = 0;
   std::uint64_t unnamed_ = 0;
+  monotonic_time call_start_;
   monotonic_time last_answer_;
   /// Number of the pending call, or 0 if there is none.
   std::uint64_t pending_call_ = 0;
--- a/tests/unit/store_mirror_test.cc
+++ b/tests/unit/store_mirror_test.cc
@@ -191,6 +191,28 @@
   CHECK(store.ListCount("servers") <= 3);
 }
 
+// The store allows each instance a share of its calls; a watch that returns at
+// once must not use up that of all instances.
+TEST_CASE(
+    "watches that return at once without a change are not repeated "
+    "without a pause",
+    "[mirror][foreign]") {
+  constexpr std::uint64_t kMaxWatches = 3 * 6;
+  loop_context loop;
+  store_standin store(loop);
+  store.SetEarlyAnswers(true);
+  const mirrored_instance instance(loop, store.Address(), "entry-1", false);
+  REQUIRE(RunUntil(loop, [&] { return instance.mirror->Complete(); }));
+  const std::uint64_t before = store.WatchCount();
+  const monotonic_time start = loop_context::Now();
+  REQUIRE(RunUntil(loop, [&] {
+    return loop_context::Now() - start > std::chrono::seconds(1);
+  }));
+  CHECK(store.WatchCount() - before <= kMaxWatches);
+  store.Put("servers", "i-1", json::object());
+  CHECK(RunUntil(loop, [&] { return instance.upstreams.count("i-1") == 1; }));
+}
+
 // Counts the lists and watches that eight instances cause at the store.
 TEST_CASE("two instances watch the store for their data centre", "[mirror]") {
   loop_context loop;
