Lock the ports of a soak run

A run now keeps the first port of each of its blocks bound, as the scenarios do, takes more blocks when it needs more ports, and stays out of the scenarios' range (26000 to 29999).

--- a/tests/soak/ports.py
+++ b/tests/soak/ports.py
@@ -1,33 +1,52 @@
-"""Picks free ports of this machine."""
+"""Picks free ports of this machine; runs in parallel never share one."""
 
-import os
+import random
 import socket
 
 # Below the ephemeral port range, so that no outgoing connection takes the port
-# of a process that is down before it restarts.
-PORTS = range(10000, 32000)
-# More ports than a run uses, so that parallel runs do not share ports.
-PORTS_PER_RUN = 500
+# of a process that is down before it restarts; below those of the scenarios.
+PORTS = range(10000, 26000)
+BLOCK_SIZE = 250
+
+
+def try_bind(port):
+    """Returns a socket that is bound to the port, or None."""
+    probe = socket.socket()
+    try:
+        probe.bind(("127.0.0.1", port))
+        return probe
+    except OSError:
+        probe.close()
+        return None
 
 
 class PortPicker:
-    """Returns free ports; each run starts at a different port."""
+    """Returns free ports of blocks that belong to this run. The first port of
+    a block stays bound, as a lock."""
 
     def __init__(self):
-        runs = len(PORTS) // PORTS_PER_RUN
-        self.next = PORTS.start + os.getpid() % runs * PORTS_PER_RUN
+        self.locks = []
+        self.free = iter(())
 
     def __call__(self):
         while True:
-            self.next += 1
-            if self.next not in PORTS:
-                self.next = PORTS.start
-            with socket.socket() as probe:
-                try:
-                    probe.bind(("127.0.0.1", self.next))
-                    return self.next
-                except OSError:
-                    continue
+            for port in self.free:
+                probe = try_bind(port)
+                if probe is not None:
+                    probe.close()
+                    return port
+            self.take_block()
+
+    def take_block(self):
+        blocks = list(PORTS[::BLOCK_SIZE])
+        random.SystemRandom().shuffle(blocks)
+        for first in blocks:
+            lock = try_bind(first)
+            if lock is not None:
+                self.locks.append(lock)
+                self.free = iter(range(first + 1, first + BLOCK_SIZE))
+                return
+        raise RuntimeError(f"no block of {BLOCK_SIZE} ports is free")
 
 
 free_port = PortPicker()
