Let callers wait in the backlog while no connection can be accepted

What callers saw: a closed connection at an instance with all its connections in use, though most of them may be idle. Without a free descriptor the instance used a whole core for nothing.

Cause: the port closed what it accepted beyond its limit, and asked the kernel at once again after an accept that had failed.

Evidence, before: the caller beyond the limit got no answer (2 tests); without a free descriptor the process used 0.400 s of processor time in 400 ms. After: all are answered, the same 400 ms stay within the 0.2 s that the test allows, and a request in progress is answered during the shortage.

A port that is full closes an idle connection with nothing received, or else tries again every 20 ms, as after an accept that failed. A connection that its caller aborted in the backlog no longer makes accept wait.

--- a/src/transport/caller_port.cc
+++ b/src/transport/caller_port.cc
@@ -1,6 +1,8 @@
 #include "transport/caller_port.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/system/errc.hpp>
 #include <utility>
 #include <vector>
 
@@ -12,6 +14,14 @@
 namespace {
 
 constexpr int kBacklog = 1024;
+// A port that cannot accept is not woken by the end of the shortage.
+constexpr std::chrono::milliseconds kAcceptRetryInterval{20};
+
+// Returns true if a caller left before its connection was accepted.
+bool IsAborted(const error_code& failed) {
+  return failed == boost::system::errc::connection_aborted ||
+         failed == boost::system::errc::protocol_error;
+}
 
 }  // namespace
 
@@ -29,6 +39,9 @@
   acceptor_.open(tcp::v4(), failed);
   if (failed) return failed.message();
   acceptor_.set_option(tcp::acceptor::reuse_address(true), failed);
+  // Otherwise accept waits, and the loop with it, if a caller has left.
+  acceptor_.set_option(
+      boost::asio::socket_base::enable_connection_aborted(true), failed);
   acceptor_.bind(tcp::endpoint(ip, address.port), failed);
   if (failed) return failed.message();
   acceptor_.listen(kBacklog, failed);
@@ -69,24 +82,46 @@
 
 void caller_port::WaitForConnection() {
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code failed) {
-    if (failed) return;
-    AcceptPending();
-    WaitForConnection();
+    if (!failed) OnBacklog();
   });
 }
 
-void caller_port::AcceptPending() {
+void caller_port::OnBacklog() {
+  if (!acceptor_.is_open()) return;
+  const bool has_room = !IsFull() || MakeRoom();
+  if (!has_room || !AcceptPending()) return RetryLater();
+  WaitForConnection();
+}
+
+void caller_port::RetryLater() {
+  loop_.ScheduleAfter(kAcceptRetryInterval,
+                      [this](monotonic_time) { OnBacklog(); });
+}
+
+bool caller_port::AcceptPending() {
   caller_connection::owner& self = *this;
-  while (acceptor_.is_open()) {
+  while (acceptor_.is_open() && !IsFull()) {
     error_code failed;
     tcp::socket socket = acceptor_.accept(loop_.Io(), failed);
-    if (failed) return;
-    if (connections_.size() >= max_connections_) continue;
+    if (failed == boost::asio::error::would_block) return true;
+    if (IsAborted(failed)) continue;
+    if (failed) return false;
     const auto connection =
         std::make_shared<caller_connection>(loop_, std::move(socket), self);
     connections_.insert(connection);
     connection->Start();
   }
+  return true;
+}
+
+bool caller_port::MakeRoom() {
+  const std::vector<std::shared_ptr<caller_connection>> all(
+      connections_.begin(), connections_.end());
+  for (const auto& each : all) {
+    each->CloseIfIdle();
+    if (!IsFull()) return true;
+  }
+  return false;
 }
 
 }  // namespace papayaglade
--- a/src/transport/caller_port.h
+++ b/src/transport/caller_port.h
@@ -25,7 +25,8 @@
                              bool too_large) = 0;
   };
 
-  /// Connections beyond `max_connections` are closed when they are accepted.
+  /// Beyond `max_connections`, idle connections are closed to make room; if
+  /// there are none, new connections wait in the backlog.
   caller_port(loop_context& loop, service& service,
               std::size_t max_connections);
 
@@ -47,7 +48,15 @@
   void OnClosed(const std::shared_ptr<caller_connection>& from) override;
 
   void WaitForConnection();
-  void AcceptPending();
+  /// Called when connections may be waiting in the backlog.
+  void OnBacklog();
+  void RetryLater();
+  /// Accepts from the backlog up to the limit. Returns false if accepting
+  /// fails, as when the process has no free descriptor.
+  bool AcceptPending();
+  bool IsFull() const { return connections_.size() >= max_connections_; }
+  /// Closes an idle connection. Returns whether another one may be accepted.
+  bool MakeRoom();
 
   loop_context& loop_;
   service& service_;
