Refuse fields that the parser cannot store

What callers saw: an instance ended at once, with all its requests, when one caller sent a chunked body with a trailer field over 64 KiB, or an upstream an answer with one; with a limit on heads over 64 KiB also for a field of that size in a head. A trailer or chunk header without end filled the memory until the header timeout.

Cause: the parser throws std::length_error for a field over 65,533 bytes. Nothing catches it, and the limit on heads does not apply to trailers.

Evidence, before: "unexpected exception with message: field value too large" out of the loop, for the caller's request and for the upstream's trailer; a trailer of 16 KiB under a limit of 4 KiB was accepted and a chunk extension of that size kept until the timeout. After: the caller gets 413, the exchange with the upstream is broken, and the process goes on.

Both parsers are now called through one function that turns these exceptions into the error for a head that is too large; what the parser cannot use yet is limited to the size of a head.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -1,12 +1,13 @@
 #include "transport/caller_connection.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
 #include <utility>
 
+#include "transport/http_parse_step.h"
+
 namespace papayaglade {
 
 namespace http = boost::beast::http;
@@ -131,8 +132,13 @@
   while (consumed_ < received_.size()) {
     if (!parser_->got_some()) ArmTimeout(owner_.Limits().header_timeout);
     error_code failed;
-    consumed_ +=
-        parser_->put(boost::asio::buffer(received_) + consumed_, failed);
+    const std::string_view rest = std::string_view(received_).substr(consumed_);
+    const std::size_t used = ParseStep(*parser_, rest, failed);
+    consumed_ += used;
+    // The parser itself does not limit the size of chunk headers and trailers.
+    const bool endless = failed == http::error::need_more &&
+                         rest.size() - used > owner_.Limits().header_bytes;
+    if (endless) failed = http::error::header_limit;
     const bool whole = !failed && parser_->is_done();
     if (whole || (failed && failed != http::error::need_more)) {
       return Dispatch(failed);
--- a/src/transport/http_exchange_channel.cc
+++ b/src/transport/http_exchange_channel.cc
@@ -1,6 +1,5 @@
 #include "transport/http_exchange_channel.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -8,6 +7,8 @@
 #include <charconv>
 #include <utility>
 
+#include "transport/http_parse_step.h"
+
 namespace papayaglade {
 
 namespace http = boost::beast::http;
@@ -114,8 +115,7 @@
   unparsed_.append(bytes);
   while (!unparsed_.empty()) {
     error_code failed;
-    const std::size_t used =
-        parser_->put(boost::asio::buffer(unparsed_), failed);
+    const std::size_t used = ParseStep(*parser_, unparsed_, failed);
     unparsed_.erase(0, used);
     if (failed == http::error::need_more) {
       if (unparsed_.size() <= kMaxUnparsedBytes) return;
