--- a/tests/unit/platform_wire_format_test.cc
+++ b/tests/unit/platform_wire_format_test.cc
@@ -71,6 +71,62 @@
   CHECK_FALSE(Contains(sent, "400"));
 }
 
+// Guards against a deadline whose arithmetic overflows, so that a request is
+// kept or handed on with more time than its caller has.
+TEST_CASE("any value of the caller's deadline is a time", "[wire]") {
+  const auto time_left = [](const std::string& value) {
+    return Decoded(
+               "GET / HTTP/1.1\r\nHost: h\r\nPapayaglade-Attempt-Id: a\r\n"
+               "Papayaglade-Deadline-Ms: " +
+               value + "\r\n\r\n")
+        .time_left;
+  };
+  const milliseconds day = std::chrono::hours(24);
+  CHECK(time_left("400") == milliseconds(400));
+  CHECK(time_left("0") == milliseconds(0));
+  for (const char* past :
+       {"-1", "-9223372036854775808", "-99999999999999999999"}) {
+    INFO(past);
+    CHECK(time_left(past) == milliseconds(0));
+  }
+  for (const char* far : {"9223372036854775807", "99999999999999999999"}) {
+    INFO(far);
+    CHECK(time_left(far).value_or(day) >= day);
+    // Adding it to a time of the steady clock does not overflow.
+    CHECK(time_left(far).value_or(day) <= 365 * day);
+  }
+  CHECK_FALSE(time_left("soon").has_value());
+}
+
+TEST_CASE("an answer to HEAD states the length that the upstream states",
+          "[wire]") {
+  const platform_wire_format wire;
+  const auto relayed = [&](const std::string& method, const std::string& text) {
+    entry_request request;
+    request.id = "abc";
+    request.method = method;
+    http::response_parser<http::string_body> parser;
+    parser.skip(method == "HEAD");
+    parser.eager(true);
+    boost::system::error_code failed;
+    parser.put(boost::asio::buffer(text), failed);
+    REQUIRE(parser.is_done());
+    const auto result = wire.DecodeReply(parser.release(), request, false);
+    return wire.EncodeAnswer(relayed_answer{result.reply}, method == "HEAD",
+                             true);
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nPapayaglade-Server-Stamp: s\r\n";
+  const std::string unchanged = "HTTP/1.1 304 Not Modified\r\n";
+  CHECK(Contains(relayed("HEAD", head + "Content-Length: 9\r\n\r\n"),
+                 "Content-Length: 9\r\n"));
+  CHECK_FALSE(Contains(relayed("HEAD", head + "\r\n"), "Content-Length"));
+  CHECK(Contains(relayed("GET", unchanged + "Content-Length: 9\r\n\r\n"),
+                 "Content-Length: 9\r\n"));
+  CHECK_FALSE(Contains(relayed("GET", unchanged + "\r\n"), "Content-Length"));
+  CHECK(Contains(relayed("GET", head + "Content-Length: 0\r\n\r\n"),
+                 "Content-Length: 0\r\n"));
+}
+
 TEST_CASE("a chunked body is forwarded completely, with its length", "[wire]") {
   const entry_request request = Decoded(
       "POST /a/ HTTP/1.1\r\nHost: h\r\nPapayaglade-Attempt-Id: abc\r\n"
