Send no body in answer to a refused HEAD request

What callers saw: bytes of no answer on a kept connection. A HEAD request without a route got a 404 with its body, and the body stood where the next answer was due.

Evidence, before: after the head of the 404 came '{"error":"no' instead of the next answer's 'HTTP/1.1 404'. After: the next answer follows.

A refusal now knows whether it answers a HEAD request.

--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -233,20 +233,21 @@
 
 void entry_service::OnRequest(const std::shared_ptr<caller_connection>& from,
                               caller_message message) {
+  const bool head = message.method() == boost::beast::http::verb::head;
   auto decoded = wire_.DecodeRequest(message);
   if (const auto* refused = std::get_if<refused_answer>(&decoded)) {
-    return Refuse(from, "", *refused, false);
+    return Refuse(from, "", *refused, false, head);
   }
   const auto request = std::make_shared<const entry_request>(
       std::get<entry_request>(std::move(decoded)));
   if (!routes_.has_value()) {
     return Refuse(from, request->id, {refusal::kNoConfiguration, std::nullopt},
-                  false);
+                  false, head);
   }
   const route* target = routes_->Find(request->host, request->target);
   if (target == nullptr) {
     return Refuse(from, request->id, {refusal::kNoRoute, std::nullopt},
-                  request->keep_alive);
+                  request->keep_alive, head);
   }
   CountRequest(target->name, loop_context::Now());
   request_run::context context;
@@ -264,12 +265,12 @@
                                 bool too_large) {
   Refuse(from, "",
          {too_large ? refusal::kTooLarge : refusal::kMalformed, std::nullopt},
-         false);
+         false, false);
 }
 
 void entry_service::Refuse(const std::shared_ptr<caller_connection>& to,
                            const std::string& id, refused_answer answer,
-                           bool keep_alive) {
+                           bool keep_alive, bool head) {
   request_sample sample;
   sample.workload = "(none)";
   sample.outcome = RefusalName(answer.cause);
@@ -282,7 +283,7 @@
   }
   log_.Write(structured_log::kind::kFailure, line);
   const bool keep = keep_alive && !closing_;
-  to->Respond(wire_.EncodeAnswer(answer, false, keep), !keep);
+  to->Respond(wire_.EncodeAnswer(answer, head, keep), !keep);
 }
 
 void entry_service::CountRequest(const std::string& route, monotonic_time now) {
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -58,9 +58,10 @@
   class active_request;
 
   /// Answers with a refusal and records it. `id` is empty when the request
-  /// could not be decoded.
+  /// could not be decoded; `head` marks a HEAD request.
   void Refuse(const std::shared_ptr<caller_connection>& to,
-              const std::string& id, refused_answer answer, bool keep_alive);
+              const std::string& id, refused_answer answer, bool keep_alive,
+              bool head);
   void Remove(active_request* finished);
   /// Returns the age of the local copy of the store in milliseconds, or -1 if
   /// it is unknown.
