Keep an instance running when the reader of its log is gone

What callers saw: all requests of an instance ended without an answer when the process that reads its standard output ended.

Cause: writing to a pipe without a reader raises SIGPIPE, which ends the process. Sockets are written without that signal, the log was not.

Evidence: a started entry process whose output is closed was gone 0.5 s after the event of a SIGHUP; now it still accepts connections.

SIGPIPE is ignored in all commands.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -1,5 +1,6 @@
 #include <glog/logging.h>
 
+#include <csignal>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -55,6 +56,8 @@
 }  // namespace papayaglade
 
 int main(int argc, char** argv) {
+  // A closed reader of the output must not end an instance.
+  std::signal(SIGPIPE, SIG_IGN);
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
   const std::vector<std::string> arguments(argv, argv + argc);
