Tell a reset from an orderly end after a failed write

What callers saw: a 200 with an empty or short body, framed as whole, of an upstream that had begun an answer without a length and reset the connection before it had read the request. In a fan-out its part was short.

Cause: a write that fails takes the error of the socket. The next read, in the same turn of the loop, then reports an orderly end, which completes an answer without a length; the failed write was told only after it.

Evidence: an upstream that answers the head of a 32 MiB request with a head without a length and 5 bytes, and resets 100 ms later.

The failure of the write is now kept, and an end after it is never orderly. What has arrived is read before the failure is told, and a connection with a failed write is not used again.

--- a/src/transport/http_exchange_channel.cc
+++ b/src/transport/http_exchange_channel.cc
@@ -69,7 +69,8 @@
 }
 
 bool http_exchange_channel::IsReusable() const {
-  return connected_ && !closed_ && keep_alive_ && !done_;
+  return connected_ && !closed_ && keep_alive_ && !done_ &&
+         !socket_->HasFailedWrite();
 }
 
 void http_exchange_channel::Connect() {
--- a/src/transport/stream_socket.cc
+++ b/src/transport/stream_socket.cc
@@ -157,8 +157,10 @@
   return failed;
 }
 
+// A failed write takes the socket's error, so that the next read reports an
+// orderly end.
 void stream_socket::CloseAndNotify(error_code failed) {
-  if (failed == asio::error::eof) failed = {};
+  if (failed == asio::error::eof) failed = write_failure_;
   const auto on_end = handlers_.on_end;
   Close();
   if (on_end) on_end(failed);
@@ -175,21 +177,26 @@
                          [self = shared_from_this()](error_code broken) {
                            self->waiting_to_write_ = false;
                            if (self->closed_) return;
-                           if (broken) return self->CloseAndNotify(broken);
+                           if (broken) return self->OnWriteFailed(broken);
                            self->WriteBuffered();
                          });
       return;
     }
-    if (failed) {
-      // on_end runs later, never during the caller's Write.
-      asio::post(loop_.Io(), [self = shared_from_this(), failed] {
-        if (!self->closed_) self->CloseAndNotify(failed);
-      });
-      return;
-    }
+    if (failed) return OnWriteFailed(failed);
     unwritten_.erase(0, count);
   }
   if (handlers_.on_written) handlers_.on_written();
 }
 
+// The peer may have answered before it broke the connection, so what has
+// arrived is read first. on_end runs later, never during the caller's Write.
+void stream_socket::OnWriteFailed(error_code failed) {
+  write_failure_ = failed;
+  asio::post(loop_.Io(), [self = shared_from_this(), failed] {
+    while (self->ReadArrived()) {
+    }
+    if (!self->closed_) self->CloseAndNotify(failed);
+  });
+}
+
 }  // namespace papayaglade
--- a/src/transport/stream_socket.h
+++ b/src/transport/stream_socket.h
@@ -54,6 +54,8 @@
   void EndWriting();
   void Close();
   bool IsClosed() const { return closed_; }
+  /// Returns true if a write has failed, so that nothing more can be sent.
+  bool HasFailedWrite() const { return write_failure_.failed(); }
 
  private:
   void SetSocketOptions(std::chrono::milliseconds unacknowledged_timeout);
@@ -63,6 +65,7 @@
   /// Reads once and passes the result to the handlers. Returns the result.
   boost::system::error_code ReadOnce();
   void CloseAndNotify(boost::system::error_code failed);
+  void OnWriteFailed(boost::system::error_code failed);
   void WriteBuffered();
 
   loop_context& loop_;
@@ -71,6 +74,7 @@
   std::string unwritten_;  ///< Bytes that the kernel has not accepted yet.
   /// Timer of the connect timeout; set while connecting.
   std::optional<timer_queue::id> connect_timeout_;
+  boost::system::error_code write_failure_;
   bool waiting_to_read_ = false;
   bool waiting_to_write_ = false;
   bool paused_ = false;
--- a/tests/unit/upstream_answer_cut_test.cc
+++ b/tests/unit/upstream_answer_cut_test.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -270,4 +272,88 @@
   }
 }
 
+// Guards against an answer that a reset cuts short while the request is still
+// being written: after a failed write the next read reports an orderly end.
+TEST_CASE("a reset during the request does not complete an answer", "[cut]") {
+  const std::string length =
+      GENERATE(as<std::string>{}, "", "Content-Length: 100000\r\n");
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, tcp::endpoint(tcp::v4(), 0));
+  std::thread answering([&] {
+    tcp::socket socket(io);
+    acceptor.accept(socket);
+    boost::system::error_code failed;
+    boost::asio::streambuf request;
+    boost::asio::read_until(socket, request, "\r\n\r\n", failed);
+    const std::string start =
+        "HTTP/1.1 200 OK\r\n" + kSignature + length + kEmptyLine + "abcde";
+    boost::asio::write(socket, boost::asio::buffer(start), failed);
+    std::this_thread::sleep_for(milliseconds(100));
+    socket.set_option(boost::asio::socket_base::linger(true, 0), failed);
+    socket.close(failed);
+  });
+  loop_context loop;
+  const auto channel = std::make_shared<http_exchange_channel>(
+      loop, endpoint{"127.0.0.1", acceptor.local_endpoint().port()},
+      kConnectTimeout);
+  std::optional<channel_failure> failure;
+  const std::string body(32UL * 1024 * 1024, 'x');
+  channel->Exchange("POST / HTTP/1.1\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body,
+                    false, [&](const http_exchange_channel::result& ended) {
+                      failure = ended.failure;
+                      loop.Stop();
+                    });
+  loop.Run();
+  answering.join();
+  CHECK(failure == channel_failure::kBroken);
+}
+
+// Guards against the loss of a whole answer behind which the upstream resets
+// the connection, because it has not read the request.
+TEST_CASE("an answer that has arrived is read after a failed write", "[cut]") {
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, tcp::endpoint(tcp::v4(), 0));
+  // Fits into the window, so that the reset destroys none of it.
+  const std::string answer(40UL * 1024, 'a');
+  std::atomic<bool> reset{false};
+  std::thread answering([&] {
+    tcp::socket socket(io);
+    acceptor.accept(socket);
+    boost::system::error_code failed;
+    boost::asio::streambuf request;
+    boost::asio::read_until(socket, request, "\r\n\r\n", failed);
+    boost::asio::write(
+        socket,
+        boost::asio::buffer("HTTP/1.1 200 OK\r\n" + kSignature +
+                            "Content-Length: " + std::to_string(answer.size()) +
+                            "\r\n\r\n" + answer),
+        failed);
+    std::this_thread::sleep_for(milliseconds(50));
+    socket.close(failed);
+    reset = true;
+  });
+  loop_context loop;
+  const auto channel = std::make_shared<http_exchange_channel>(
+      loop, endpoint{"127.0.0.1", acceptor.local_endpoint().port()},
+      kConnectTimeout);
+  http_exchange_channel::result result;
+  const std::string body(32UL * 1024 * 1024, 'x');
+  channel->Exchange("POST / HTTP/1.1\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body,
+                    false, [&](http_exchange_channel::result ended) {
+                      result = std::move(ended);
+                      loop.Stop();
+                    });
+  // The loop is held up until the answer and the reset have arrived.
+  loop.Io().run_for(milliseconds(20));
+  while (!reset) std::this_thread::sleep_for(milliseconds(1));
+  std::this_thread::sleep_for(milliseconds(100));
+  if (!loop.Io().stopped()) loop.Run();
+  answering.join();
+  INFO(result.why);
+  CHECK_FALSE(result.failure.has_value());
+  CHECK((result.message.body() == answer));
+}
+
 }  // namespace papayaglade
