--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -132,7 +132,8 @@
   while (consumed_ < received_.size()) {
     if (!parser_->got_some()) ArmTimeout(owner_.Limits().header_timeout);
     error_code failed;
-    const std::string_view rest = std::string_view(received_).substr(consumed_);
+    std::string_view rest = received_;
+    rest.remove_prefix(consumed_);
     const std::size_t used = ParseStep(*parser_, rest, failed);
     consumed_ += used;
     // The parser itself does not limit the size of chunk headers and trailers.
