--- a/src/coordination/request_run.h
+++ b/src/coordination/request_run.h
@@ -84,15 +84,31 @@
   /// Sends due retries and hedges and finishes when time is up. Call it at
   /// NextTimer or later.
   void OnTimer(monotonic_time now);
+  /// Moves the deadline to `time` if it is later, because the instance stops
+  /// then. NextTimer may change.
+  void FinishBy(monotonic_time time);
   /// Abandons all attempts without calling Finish, because the caller has left.
   void Cancel();
 
   /// Returns the time at which OnTimer is due.
   monotonic_time NextTimer() const { return next_timer_; }
+  /// Returns the time by which the run finishes.
+  monotonic_time Deadline() const { return deadline_; }
   bool IsDone() const { return is_done_; }
   const route& Route() const { return *context_.matched_route; }
   run_statistics Statistics() const;
 
+  /// A leg that has no answer yet.
+  struct open_leg {
+    std::string service;
+    /// Id of the upstream asked last; empty if no attempt awaits a result.
+    std::string upstream;
+    /// Numbers of the attempts that await a result.
+    std::vector<std::uint64_t> attempts;
+  };
+  /// Returns what the run waits for, for the log.
+  std::vector<open_leg> OpenLegs() const;
+
  private:
   enum class leg_state { kOpen, kAnswered, kGivenUp };
   struct leg {
@@ -183,6 +199,8 @@
   std::size_t retries_ = 0;
   std::size_t denied_repeats_ = 0;
   std::size_t repeats_without_upstream_ = 0;
+  /// True if the deadline is the end of the instance.
+  bool is_cut_by_stop_ = false;
   bool is_done_ = false;
 };
 
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -40,8 +40,9 @@
                           if (const auto self = weak.lock())
                             self->OnBytes(bytes);
                         },
-                        [weak](error_code) {
-                          if (const auto self = weak.lock()) self->OnEnd();
+                        [weak](error_code failed) {
+                          if (const auto self = weak.lock())
+                            self->OnEnd(failed);
                         },
                         [weak] {
                           if (const auto self = weak.lock()) self->OnWritten();
@@ -64,6 +65,7 @@
     consumed_ = 0;
     socket_->StartReading();
   }
+  answer_unwritten_ = true;
   socket_->Write(std::move(bytes));
   pending_at_timeout_start_ = socket_->PendingBytes();
 }
@@ -81,13 +83,16 @@
   if (IsIdle()) Close();
 }
 
-void caller_connection::Close() {
+void caller_connection::Close(connection_end end) {
   if (closed_) return;
   closed_ = true;
+  end_ = end;
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   socket_->Close();
   const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
   if (on_disconnect) on_disconnect();
+  const auto on_unwritten = std::exchange(on_unwritten_, {});
+  for (const auto& each : on_unwritten) each();
   owner_.OnClosed(shared_from_this());
 }
 
@@ -193,9 +198,13 @@
   if (dropped_bytes_ > kMaxDroppedBytes) socket_->PauseReading();
 }
 
-void caller_connection::OnEnd() { Close(); }
+void caller_connection::OnEnd(error_code failed) {
+  Close(failed ? connection_end::kCallerReset : connection_end::kCallerClosed);
+}
 
 void caller_connection::OnWritten() {
+  answer_unwritten_ = false;
+  on_unwritten_.clear();
   if (request_in_progress_ || closed_) return;
   const bool was_pending = std::exchange(pending_at_timeout_start_, 0) > 0;
   if (was_pending) ArmTimeout(owner_.Limits().idle_timeout);
@@ -218,7 +227,8 @@
   if (socket_->HasPendingWrite()) {
     // A caller that reads its answer slowly is still there.
     const std::size_t pending = socket_->PendingBytes();
-    if (pending >= pending_at_timeout_start_) return Close();
+    if (pending >= pending_at_timeout_start_)
+      return Close(connection_end::kTimeout);
     pending_at_timeout_start_ = pending;
     return ArmTimeout(owner_.Limits().idle_timeout);
   }
@@ -228,7 +238,7 @@
   };
   while (waits() && !close_after_response_ && socket_->ReadArrived()) {
   }
-  if (waits()) Close();
+  if (waits()) Close(connection_end::kTimeout);
 }
 
 }  // namespace papayaglade
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -8,9 +8,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "protocol/entry_wire_format.h"
 #include "state/route.h"
+#include "transport/connection_end.h"
 #include "transport/stream_socket.h"
 
 namespace papayaglade {
@@ -55,6 +57,14 @@
     on_disconnect_ = std::move(on_disconnect);
   }
 
+  /// Returns true if the last answer is not wholly in the kernel yet.
+  bool HasUnwrittenAnswer() const { return answer_unwritten_; }
+  /// Adds a handler that is called if the connection closes before the last
+  /// answer is written. It is dropped once the answer is written.
+  void AddOnUnwritten(std::function<void()> on_unwritten) {
+    if (answer_unwritten_) on_unwritten_.push_back(std::move(on_unwritten));
+  }
+
   /// Returns true if no request is in progress, the last answer has been
   /// written, and nothing has been received since.
   bool IsIdle() const;
@@ -62,7 +72,9 @@
   /// that.
   void CloseIfIdle();
   /// Closes the connection at once and calls OnClosed.
-  void Close();
+  void Close(connection_end end = connection_end::kInstance);
+  /// Returns why the connection ended. Valid in the handlers that tell of it.
+  connection_end End() const { return end_; }
 
  private:
   using parser =
@@ -84,7 +96,7 @@
   void EndTurn();
   /// Drops bytes that arrive after the last request.
   void Drop(std::size_t bytes);
-  void OnEnd();
+  void OnEnd(boost::system::error_code failed);
   void OnWritten();
   void ArmTimeout(std::chrono::milliseconds delay);
   void OnTimeout();
@@ -98,6 +110,8 @@
   std::string received_;
   std::size_t consumed_ = 0;
   std::function<void()> on_disconnect_;
+  std::vector<std::function<void()>> on_unwritten_;
+  connection_end end_ = connection_end::kInstance;
   /// Timer of the header, idle or write timeout; empty if none is running.
   std::optional<timer_queue::id> timeout_;
   std::size_t dropped_bytes_ = 0;
@@ -108,6 +122,7 @@
   bool turn_scheduled_ = false;
   bool request_in_progress_ = false;
   bool close_after_response_ = false;
+  bool answer_unwritten_ = false;
   bool continue_sent_ = false;  ///< "100 Continue" was sent for this request.
   bool closed_ = false;
 };
--- a/tests/soak/searcher.py
+++ b/tests/soak/searcher.py
@@ -4,9 +4,11 @@
 import hashlib
 import random
 
-from .http_text import answer, read_message
+from .answers import cut_answer, whole_answer
+from .http_text import answer, read_message, reset
 
 RECORD_BYTES = 16
+ANSWER_FORMS = ["length"] * 8 + ["chunked"] * 2 + ["to_close"]
 
 
 def stamp_of(searcher, attempt):
@@ -22,14 +24,18 @@
 
 
 class Searcher:
-    def __init__(self, identity, service, zone, port, seed, ledger):
+    def __init__(self, identity, service, zone, port, seed, ledger, slots=3,
+                 queue=6, work_s=None):
         self.id = identity
         self.service = service
         self.zone = zone
         self.port = port
         self.random = random.Random(seed)
         self.ledger = ledger
-        self.slots = asyncio.Semaphore(3)
+        self.max_concurrency = slots
+        self.queue = queue
+        self.slots = asyncio.Semaphore(slots)
+        self.work_s = work_s or (lambda: self.random.uniform(.001, .01))
         self.in_flight = 0
         self.paused_until = 0.0
         self.fault_mode = None
@@ -38,8 +44,9 @@
 
     def entry(self, state="ready"):
         return {"service": self.service, "address": f"127.0.0.1:{self.port}",
-                "zone": self.zone, "version": "v1", "max_concurrency": 3,
-                "state": state, "warmup_left_ms": 0, "sequence": 1,
+                "zone": self.zone, "version": "v1", "state": state,
+                "max_concurrency": self.max_concurrency,
+                "warmup_left_ms": 0, "sequence": 1,
                 "born": 1700000000000 + self.port}
 
     async def start(self):
@@ -49,7 +56,7 @@
     async def crash(self):
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def connection(self, reader, writer):
         self.writers.add(writer)
@@ -70,39 +77,61 @@
             return True
         now = asyncio.get_running_loop().time()
         self.ledger.record_arrival(self, attempt, now)
-        if self.in_flight > 8 or self.fault_mode == "shed":
+        full = self.in_flight >= self.max_concurrency + self.queue
+        if full or self.fault_mode == "shed":
             writer.write(answer(503, fields=[("Papayaglade-Not-Executed", 1)]))
             return True
         self.in_flight += 1
         try:
             async with self.slots:
                 self.ledger.record_run(self, attempt, message, now)
-                pause = max(0.0, self.paused_until - now)
-                await asyncio.sleep(pause + self.random.uniform(.001, .01))
+                if not await self.work(message, attempt, now):
+                    writer.write(answer(504, fields=self.stamps(attempt)))
+                    return True
         finally:
             self.in_flight -= 1
         return self.respond(attempt, writer)
 
+    async def work(self, message, attempt, arrived_s):
+        """Works on a request; returns whether its time budget sufficed."""
+        start_s = asyncio.get_running_loop().time()
+        left_s = arrived_s - start_s + int(
+            message.get("papayaglade-deadline-ms", "3600000")) / 1000
+        work_s = max(0.0, self.paused_until - arrived_s) + self.work_s()
+        spent_s = max(0.0, min(work_s, left_s))
+        self.ledger.record_work(attempt, start_s, start_s + spent_s)
+        await asyncio.sleep(spent_s)
+        return work_s <= left_s
+
+    def stamps(self, attempt):
+        return [("Papayaglade-Attempt-Id", attempt),
+                ("Papayaglade-Server-Stamp", stamp_of(self.id, attempt))]
+
     def respond(self, attempt, writer):
-        body = records_of(self.id, attempt)
-        text = answer(200, body, [
-            ("Papayaglade-Attempt-Id", attempt),
-            ("Papayaglade-Server-Stamp", stamp_of(self.id, attempt))])
-        draw = self.random.random() if self.fault_mode == "garble" else 1.0
+        """Writes an answer; returns whether the connection stays open."""
+        body, fields = records_of(self.id, attempt), self.stamps(attempt)
+        draw = self.random.random()
+        if self.fault_mode == "cut" and draw < .5:
+            text, by_reset = cut_answer(body, fields, self.random)
+            writer.write(text)
+            reset(writer) if by_reset else writer.close()
+            return False
+        if self.fault_mode == "garble" and draw < .4:
+            return self.garble(body, fields, draw, writer)
+        form = self.random.choice(ANSWER_FORMS)
+        writer.write(whole_answer(body, fields, form))
+        return form != "to_close"
+
+    @staticmethod
+    def garble(body, fields, draw, writer):
+        text = whole_answer(body, fields, "length")
         if draw < .1:
             writer.write(text[:len(text) // 2])
-            writer.transport.abort() if draw < .05 else writer.close()
-            return False
-        if draw < .2:
+            reset(writer) if draw < .05 else writer.close()
+        elif draw < .2:
             writer.write(text + text)
-            return True
-        if draw < .3:
-            writer.transport.abort()
-            return False
-        if draw < .4:
-            writer.write(answer(500, b"no", [
-                ("Papayaglade-Attempt-Id", attempt),
-                ("Papayaglade-Server-Stamp", stamp_of(self.id, attempt))]))
-            return True
-        writer.write(text)
-        return True
+        elif draw < .3:
+            reset(writer)
+        else:
+            writer.write(answer(500, b"no", fields))
+        return .1 <= draw < .2 or draw >= .3
