--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -1,6 +1,7 @@
 #include "transport/caller_connection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
@@ -13,9 +14,15 @@
 
 namespace {
 
-// Reading pauses when a caller has pipelined more than this while its request
-// is in progress.
+// Reading pauses while more than this waits for the answers before it.
 constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
+// Other connections get their turn after this many requests of one.
+constexpr int kMaxRequestsInTurn = 32;
+// Closing a connection with unread bytes resets it, which destroys an answer
+// on its way. After the last answer, bytes are therefore read and dropped until
+// the caller closes the connection, within these limits.
+constexpr std::size_t kMaxDroppedBytes = 16UL * 1024 * 1024;
+constexpr std::chrono::milliseconds kCloseDelay{1000};
 
 }  // namespace
 
@@ -32,8 +39,9 @@
                           if (const auto self = weak.lock())
                             self->OnBytes(bytes);
                         },
-                        [weak](error_code) {
-                          if (const auto self = weak.lock()) self->OnEnd();
+                        [weak](error_code failed) {
+                          if (const auto self = weak.lock())
+                            self->OnEnd(failed);
                         },
                         [weak] {
                           if (const auto self = weak.lock()) self->OnWritten();
@@ -51,22 +59,39 @@
   const auto self = shared_from_this();
   ResetParser();
   ArmTimeout(owner_.Limits().idle_timeout);
+  if (close) {
+    received_.clear();
+    consumed_ = 0;
+    socket_->StartReading();
+  }
+  answer_unwritten_ = true;
   socket_->Write(std::move(bytes));
+  pending_at_timeout_start_ = socket_->PendingBytes();
 }
 
 bool caller_connection::IsIdle() const {
-  return !request_in_progress_ && unparsed_.empty() &&
+  return !request_in_progress_ && !close_after_response_ && received_.empty() &&
          !socket_->HasPendingWrite() && parser_.has_value() &&
          !parser_->got_some();
 }
 
-void caller_connection::Close() {
+void caller_connection::CloseIfIdle() {
+  const auto self = shared_from_this();
+  while (IsIdle() && socket_->ReadArrived()) {
+  }
+  if (IsIdle()) Close();
+}
+
+void caller_connection::Close(connection_end end) {
   if (closed_) return;
   closed_ = true;
+  end_ = end;
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   socket_->Close();
   const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
   if (on_disconnect) on_disconnect();
+  const auto on_unwritten = std::exchange(on_unwritten_, {});
+  for (const auto& each : on_unwritten) each();
   owner_.OnClosed(shared_from_this());
 }
 
@@ -80,37 +105,75 @@
 }
 
 void caller_connection::OnBytes(std::string_view bytes) {
-  unparsed_.append(bytes);
-  if (request_in_progress_ && unparsed_.size() > kMaxPipelinedBytes)
-    socket_->PauseReading();
-  ParseMore();
+  if (close_after_response_) return Drop(bytes.size());
+  received_.append(bytes);
+  TakeRequests();
 }
 
-void caller_connection::ParseMore() {
+bool caller_connection::MayTakeRequest() const {
+  return !closed_ && !request_in_progress_ && !close_after_response_ &&
+         !socket_->HasPendingWrite();
+}
+
+// An answer that is written at once leads back to this function, which goes on
+// in its loop, because a call for each request would exhaust the stack.
+void caller_connection::TakeRequests() {
+  if (taking_requests_) return;
   const auto self = shared_from_this();
-  while (!closed_ && !request_in_progress_ && !close_after_response_ &&
-         !unparsed_.empty()) {
+  taking_requests_ = true;
+  needs_more_bytes_ = false;
+  for (int taken = 0; taken < kMaxRequestsInTurn && MayTakeRequest(); ++taken) {
+    ParseNext();
+    if (needs_more_bytes_) break;
+  }
+  taking_requests_ = false;
+  received_.erase(0, consumed_);
+  consumed_ = 0;
+  if (!closed_ && !close_after_response_) EndTurn();
+}
+
+void caller_connection::ParseNext() {
+  while (consumed_ < received_.size()) {
     if (!parser_->got_some()) ArmTimeout(owner_.Limits().header_timeout);
     error_code failed;
-    const std::size_t used =
-        parser_->put(boost::asio::buffer(unparsed_), failed);
-    unparsed_.erase(0, used);
-    if (failed == http::error::need_more) return SendContinueIfExpected();
-    if (failed) {
-      const bool too_large = failed == http::error::body_limit ||
-                             failed == http::error::header_limit;
-      request_in_progress_ = true;
-      return owner_.OnMalformed(shared_from_this(), too_large);
+    consumed_ +=
+        parser_->put(boost::asio::buffer(received_) + consumed_, failed);
+    const bool whole = !failed && parser_->is_done();
+    if (whole || (failed && failed != http::error::need_more)) {
+      return Dispatch(failed);
     }
-    if (!parser_->is_done()) {
-      SendContinueIfExpected();
-      continue;
-    }
-    request_in_progress_ = true;
-    if (timeout_.has_value()) loop_.Cancel(*timeout_);
-    timeout_.reset();
-    owner_.OnRequest(shared_from_this(), parser_->release());
+    SendContinueIfExpected();
+    if (failed == http::error::need_more) break;
+  }
+  needs_more_bytes_ = true;
+}
+
+void caller_connection::Dispatch(error_code failed) {
+  request_in_progress_ = true;
+  if (failed) {
+    const bool too_large = failed == http::error::body_limit ||
+                           failed == http::error::header_limit;
+    return owner_.OnMalformed(shared_from_this(), too_large);
+  }
+  if (timeout_.has_value()) loop_.Cancel(*timeout_);
+  timeout_.reset();
+  owner_.OnRequest(shared_from_this(), parser_->release());
+}
+
+void caller_connection::EndTurn() {
+  if (needs_more_bytes_ || received_.size() <= kMaxPipelinedBytes) {
+    socket_->StartReading();
+  } else {
+    socket_->PauseReading();
   }
+  if (needs_more_bytes_ || turn_scheduled_ || !MayTakeRequest()) return;
+  turn_scheduled_ = true;
+  boost::asio::post(loop_.Io(), [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr) return;
+    self->turn_scheduled_ = false;
+    self->TakeRequests();
+  });
 }
 
 void caller_connection::SendContinueIfExpected() {
@@ -121,24 +184,54 @@
   socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void caller_connection::OnEnd() { Close(); }
+// The caller's bytes wait in the kernel beyond the limit, so that the caller
+// still has the time to read its answer.
+void caller_connection::Drop(std::size_t bytes) {
+  dropped_bytes_ += bytes;
+  if (dropped_bytes_ > kMaxDroppedBytes) socket_->PauseReading();
+}
+
+void caller_connection::OnEnd(error_code failed) {
+  Close(failed ? connection_end::kCallerReset : connection_end::kCallerClosed);
+}
 
 void caller_connection::OnWritten() {
+  answer_unwritten_ = false;
+  on_unwritten_.clear();
   if (request_in_progress_ || closed_) return;
-  if (close_after_response_) return Close();
+  const bool was_pending = std::exchange(pending_at_timeout_start_, 0) > 0;
+  if (was_pending) ArmTimeout(owner_.Limits().idle_timeout);
+  if (!close_after_response_) return TakeRequests();
+  socket_->EndWriting();
   socket_->StartReading();
-  ParseMore();
+  ArmTimeout(kCloseDelay);
 }
 
 void caller_connection::ArmTimeout(std::chrono::milliseconds delay) {
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   const std::weak_ptr<caller_connection> weak = weak_from_this();
   timeout_ = loop_.ScheduleAfter(delay, [weak](monotonic_time) {
-    if (const auto self = weak.lock()) {
-      self->timeout_.reset();
-      self->Close();
-    }
+    if (const auto self = weak.lock()) self->OnTimeout();
   });
 }
 
+void caller_connection::OnTimeout() {
+  timeout_.reset();
+  if (socket_->HasPendingWrite()) {
+    // A caller that reads its answer slowly is still there.
+    const std::size_t pending = socket_->PendingBytes();
+    if (pending >= pending_at_timeout_start_)
+      return Close(connection_end::kTimeout);
+    pending_at_timeout_start_ = pending;
+    return ArmTimeout(owner_.Limits().idle_timeout);
+  }
+  // The loop may have been held up while the bytes arrived that end the wait.
+  const auto waits = [this] {
+    return !closed_ && !request_in_progress_ && !timeout_.has_value();
+  };
+  while (waits() && !close_after_response_ && socket_->ReadArrived()) {
+  }
+  if (waits()) Close(connection_end::kTimeout);
+}
+
 }  // namespace papayaglade
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -8,9 +8,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "protocol/entry_wire_format.h"
 #include "state/route.h"
+#include "transport/connection_end.h"
 #include "transport/stream_socket.h"
 
 namespace papayaglade {
@@ -44,8 +46,9 @@
   /// Starts reading requests.
   void Start();
 
-  /// Sends the complete answer `bytes`. If `close` is set, closes the
-  /// connection after they have been written.
+  /// Sends the complete answer `bytes`. If `close` is set, ends the connection
+  /// after they have been written: what the caller still sends is dropped, and
+  /// the connection is closed when the caller closes it or soon after.
   void Respond(std::string bytes, bool close);
 
   /// Sets a handler that is called if the connection closes before Respond.
@@ -54,11 +57,24 @@
     on_disconnect_ = std::move(on_disconnect);
   }
 
+  /// Returns true if the last answer is not wholly in the kernel yet.
+  bool HasUnwrittenAnswer() const { return answer_unwritten_; }
+  /// Adds a handler that is called if the connection closes before the last
+  /// answer is written. It is dropped once the answer is written.
+  void AddOnUnwritten(std::function<void()> on_unwritten) {
+    if (answer_unwritten_) on_unwritten_.push_back(std::move(on_unwritten));
+  }
+
   /// Returns true if no request is in progress, the last answer has been
   /// written, and nothing has been received since.
   bool IsIdle() const;
+  /// Reads what has arrived, and closes the connection if it is idle after
+  /// that.
+  void CloseIfIdle();
   /// Closes the connection at once and calls OnClosed.
-  void Close();
+  void Close(connection_end end = connection_end::kInstance);
+  /// Returns why the connection ended. Valid in the handlers that tell of it.
+  connection_end End() const { return end_; }
 
  private:
   using parser =
@@ -66,22 +82,47 @@
 
   void ResetParser();
   void OnBytes(std::string_view bytes);
-  void ParseMore();
-  void OnEnd();
+  /// Returns true if the next request may be taken: the one before has been
+  /// answered and its answer written.
+  bool MayTakeRequest() const;
+  /// Takes the requests that were received, one after the other, up to a limit
+  /// for this turn of the loop. The rest follows in later turns.
+  void TakeRequests();
+  /// Parses until one request is taken, or until more bytes are needed.
+  void ParseNext();
+  void Dispatch(boost::system::error_code failed);
+  /// Goes on with what is left after a turn: waits for more bytes, or takes
+  /// more requests in another turn.
+  void EndTurn();
+  /// Drops bytes that arrive after the last request.
+  void Drop(std::size_t bytes);
+  void OnEnd(boost::system::error_code failed);
   void OnWritten();
   void ArmTimeout(std::chrono::milliseconds delay);
+  void OnTimeout();
   void SendContinueIfExpected();
 
   loop_context& loop_;
   std::shared_ptr<stream_socket> socket_;
   owner& owner_;
   std::optional<parser> parser_;
-  std::string unparsed_;  ///< Received bytes that the parser has not consumed.
+  /// Received bytes, of which the parser has consumed the first `consumed_`.
+  std::string received_;
+  std::size_t consumed_ = 0;
   std::function<void()> on_disconnect_;
-  /// Timer of the header or idle timeout; empty if neither is running.
+  std::vector<std::function<void()>> on_unwritten_;
+  connection_end end_ = connection_end::kInstance;
+  /// Timer of the header, idle or write timeout; empty if none is running.
   std::optional<timer_queue::id> timeout_;
+  std::size_t dropped_bytes_ = 0;
+  /// Unwritten bytes when the timeout was started.
+  std::size_t pending_at_timeout_start_ = 0;
+  bool taking_requests_ = false;  ///< TakeRequests is running.
+  bool needs_more_bytes_ = true;  ///< No whole request has been received.
+  bool turn_scheduled_ = false;
   bool request_in_progress_ = false;
   bool close_after_response_ = false;
+  bool answer_unwritten_ = false;
   bool continue_sent_ = false;  ///< "100 Continue" was sent for this request.
   bool closed_ = false;
 };
--- a/src/transport/stream_socket.cc
+++ b/src/transport/stream_socket.cc
@@ -30,7 +30,10 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
-constexpr int kUserTimeoutMilliseconds = 3000;
+constexpr std::chrono::milliseconds kConnectedTimeout{3000};
+// An accepted connection is kept for longer: the answer that it is owed must
+// still reach a peer that stops reading or loses its path for a while.
+constexpr std::chrono::milliseconds kAcceptedTimeout{15000};
 
 }  // namespace
 
@@ -39,7 +42,7 @@
 
 stream_socket::stream_socket(loop_context& loop, tcp::socket socket)
     : loop_(loop), socket_(std::move(socket)) {
-  SetSocketOptions();
+  SetSocketOptions(kAcceptedTimeout);
 }
 
 void stream_socket::Connect(const endpoint& target,
@@ -63,7 +66,7 @@
         if (self->closed_) return;
         self->CancelConnectTimeout();
         if (!failed) {
-          self->SetSocketOptions();
+          self->SetSocketOptions(kConnectedTimeout);
           self->StartReading();
         }
         done(failed);
@@ -85,6 +88,11 @@
   if (!waiting_to_write_) WriteBuffered();
 }
 
+void stream_socket::EndWriting() {
+  error_code ignored;  // A broken socket fails at its next read.
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void stream_socket::Close() {
   if (closed_) return;
   closed_ = true;
@@ -94,7 +102,8 @@
   socket_.close(ignored);
 }
 
-void stream_socket::SetSocketOptions() {
+void stream_socket::SetSocketOptions(
+    std::chrono::milliseconds unacknowledged_timeout) {
   // Errors are ignored: a broken socket fails at its first read or write.
   error_code ignored;
   socket_.non_blocking(true, ignored);
@@ -103,7 +112,8 @@
   socket_.set_option(keep_alive_idle(kKeepAliveIdleSeconds), ignored);
   socket_.set_option(keep_alive_interval(kKeepAliveIntervalSeconds), ignored);
   socket_.set_option(keep_alive_probes(kKeepAliveProbes), ignored);
-  socket_.set_option(user_timeout(kUserTimeoutMilliseconds), ignored);
+  socket_.set_option(
+      user_timeout(static_cast<int>(unacknowledged_timeout.count())), ignored);
 }
 
 void stream_socket::CancelConnectTimeout() {
@@ -125,15 +135,26 @@
 
 void stream_socket::ReadAvailable() {
   if (paused_) return;
+  const error_code failed = ReadOnce();
+  if (!failed || failed == asio::error::would_block) WaitUntilReadable();
+}
+
+bool stream_socket::ReadArrived() {
+  return !closed_ && !paused_ && !ReadOnce();
+}
+
+error_code stream_socket::ReadOnce() {
   error_code failed;
   auto& buffer = loop_.ReadBuffer();
   const std::size_t count = socket_.read_some(asio::buffer(buffer), failed);
-  if (failed == asio::error::would_block) return WaitUntilReadable();
-  if (failed) return CloseAndNotify(failed);
+  if (failed) {
+    if (failed != asio::error::would_block) CloseAndNotify(failed);
+    return failed;
+  }
   // The handler may call Close, which clears `handlers_`, so a copy is called.
   const auto on_bytes = handlers_.on_bytes;
   if (on_bytes) on_bytes({buffer.data(), count});
-  WaitUntilReadable();
+  return failed;
 }
 
 void stream_socket::CloseAndNotify(error_code failed) {
@@ -164,7 +185,6 @@
       asio::post(loop_.Io(), [self = shared_from_this(), failed] {
         if (!self->closed_) self->CloseAndNotify(failed);
       });
-      unwritten_.clear();
       return;
     }
     unwritten_.erase(0, count);
