--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -281,20 +281,21 @@
 
 void entry_service::OnRequest(const std::shared_ptr<caller_connection>& from,
                               caller_message message) {
+  const bool head = message.method() == boost::beast::http::verb::head;
   auto decoded = wire_.DecodeRequest(message);
   if (const auto* refused = std::get_if<refused_answer>(&decoded)) {
-    return Refuse(from, "", "", *refused, false);
+    return Refuse(from, {"", "", false, head}, *refused);
   }
   const auto request = std::make_shared<const entry_request>(
       std::get<entry_request>(std::move(decoded)));
   if (!routes_.has_value()) {
-    return Refuse(from, request->id, "",
-                  {refusal::kNoConfiguration, std::nullopt}, false);
+    return Refuse(from, {request->id, "", false, head},
+                  {refusal::kNoConfiguration, std::nullopt});
   }
   const route* target = routes_->Find(request->host, request->target);
   if (target == nullptr) {
-    return Refuse(from, request->id, "", {refusal::kNoRoute, std::nullopt},
-                  request->keep_alive);
+    return Refuse(from, {request->id, "", request->keep_alive, head},
+                  {refusal::kNoRoute, std::nullopt});
   }
   CountRequest(target->name, loop_context::Now());
   request_run::context context;
@@ -306,8 +307,8 @@
                                                        std::move(context));
   if (stop_.has_value()) {
     if (!MayTakeWhileStopping(*active)) {
-      return Refuse(from, request->id, target->name,
-                    {refusal::kStopping, milliseconds(0)}, false);
+      return Refuse(from, {request->id, target->name, false, head},
+                    {refusal::kStopping, milliseconds(0)});
     }
     active->FinishBy(stop_->AnswerBy());
     log_.Write(structured_log::kind::kOwed,
@@ -319,29 +320,28 @@
 
 void entry_service::OnMalformed(const std::shared_ptr<caller_connection>& from,
                                 bool too_large) {
-  Refuse(from, "", "",
-         {too_large ? refusal::kTooLarge : refusal::kMalformed, std::nullopt},
-         false);
+  Refuse(from, {},
+         {too_large ? refusal::kTooLarge : refusal::kMalformed, std::nullopt});
 }
 
 void entry_service::Refuse(const std::shared_ptr<caller_connection>& to,
-                           const std::string& id, const std::string& route,
-                           refused_answer answer, bool keep_alive) {
+                           const refused_request& request,
+                           refused_answer answer) {
   request_sample sample;
-  sample.workload = route.empty() ? "(none)" : route;
+  sample.workload = request.route.empty() ? "(none)" : request.route;
   sample.outcome = RefusalName(answer.cause);
   metrics_.Record(sample);
   log_line line("refused");
-  line.With("request", id).With("cause", RefusalName(answer.cause));
-  if (!route.empty()) line.With("route", route);
+  line.With("request", request.id).With("cause", RefusalName(answer.cause));
+  if (!request.route.empty()) line.With("route", request.route);
   if (routes_.has_value()) {
     line.With("configuration", routes_->Configuration()->version);
     line.With("state_age_ms", StateAge());
   }
   log_.Write(structured_log::kind::kFailure, line);
-  const bool keep = keep_alive && !stop_.has_value();
-  Deliver(to, wire_.EncodeAnswer(answer, false, keep), !keep, id, route,
-          loop_context::Now());
+  const bool keep = request.keep_alive && !stop_.has_value();
+  Deliver(to, wire_.EncodeAnswer(answer, request.head, keep), !keep, request.id,
+          request.route, loop_context::Now());
 }
 
 void entry_service::Deliver(const std::shared_ptr<caller_connection>& to,
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -65,11 +65,17 @@
  private:
   class active_request;
 
-  /// Answers with a refusal and records it. `id` is empty when the request
-  /// could not be decoded, `route` when it has none.
+  /// What is known of a request that is refused.
+  struct refused_request {
+    std::string id;     ///< Empty if the request could not be decoded.
+    std::string route;  ///< Empty if it has none.
+    bool keep_alive = false;
+    bool head = false;  ///< True for a HEAD request, whose answer has no body.
+  };
+
+  /// Answers with a refusal and records it.
   void Refuse(const std::shared_ptr<caller_connection>& to,
-              const std::string& id, const std::string& route,
-              refused_answer answer, bool keep_alive);
+              const refused_request& request, refused_answer answer);
   /// Returns whether `request` is sure enough to be answered before the stop.
   bool MayTakeWhileStopping(const active_request& request) const;
   /// Learns from a request that has ended how long such a request takes.
