--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -56,6 +56,7 @@
         self.recovering = False
         self.balancer = None
         self.stops = 0
+        self.longest_stop_s = 0.0
         self.extra_callers = []
 
     def searcher_traits(self, service):
@@ -168,9 +169,12 @@
                 self.idle(victim, connect_s, send_s, closing)))
         await self.sleep_until(term_s)
         self.stops += 1
+        lifetime = victim.lifetime
         if not await victim.stop():
             self.ledger.record_violation("a shutdown ends within its timeout",
                                          victim.name)
+        self.longest_stop_s = max(self.longest_stop_s,
+                                  self.now() - lifetime.term_s)
 
     def plan(self):
         """Returns the instances of the next stops and the pauses between."""
@@ -223,7 +227,8 @@
         await super().run()
         Losses(self.ledger, self.route_timeout_s,
                self.slowdown == 1 and not self.store_out).report()
-        print(f"{self.stops} stops, route timeout {self.route_timeout_s} s, "
+        print(f"{self.stops} stops, longest {self.longest_stop_s:.2f} s, "
+              f"route timeout {self.route_timeout_s} s, "
               f"{self.slots} slots, slowdown {self.slowdown}, "
               f"long share {self.long_share}"
               + ", changes" * self.changing
