Refuse fewer requests at the start of a stop

What callers saw: 503 from the first moment of a stop on a route whose requests take 20 ms, because one request of the last minute had taken 1.85 s, or because fewer than ten had come.

Cause: a request that must not be repeated got three times the longest recent duration, and each route with few requests its whole allowed time, though a repeatable request that runs out of time is answered in any case.

Now the factor is 2, and one recent request is enough for a repeatable one.

--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -398,7 +398,8 @@
 // A request in progress shows that one like it may take as long as it has.
 bool entry_service::MayTakeWhileStopping(const active_request& request) const {
   const monotonic_time now = loop_context::Now();
-  auto longest = durations_.Longest(request.Route().name, now);
+  auto longest =
+      durations_.Longest(request.Route().name, request.Route().idempotent, now);
   for (const auto& each : active_) {
     if (!longest.has_value()) break;
     if (each->Route().name != request.Route().name) continue;
--- a/src/coordination/route_durations.cc
+++ b/src/coordination/route_durations.cc
@@ -10,12 +10,13 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSpanLength{15000};
-// With fewer requests, the longest says little about the next one.
-constexpr std::size_t kMinRequests = 10;
+// With fewer requests, the longest says little about the next one, which must
+// not run out of time if it cannot be repeated.
+constexpr std::size_t kMinRequestsOnce = 10;
 constexpr double kIdempotentFactor = 1.5;
 // If a request that must not be repeated runs out of time, its caller never
 // learns what became of it.
-constexpr double kSingleRunFactor = 3;
+constexpr double kSingleRunFactor = 2;
 // Time for short requests to be held up by others.
 constexpr milliseconds kMinTimeNeeded{50};
 
@@ -36,6 +37,7 @@
 }
 
 std::optional<milliseconds> route_durations::Longest(const std::string& route,
+                                                     bool idempotent,
                                                      monotonic_time now) const {
   const auto found = spans_by_route_.find(route);
   if (found == spans_by_route_.end()) return std::nullopt;
@@ -47,7 +49,8 @@
     recent.count += each.count;
     recent.longest = std::max(recent.longest, each.longest);
   }
-  if (recent.count < kMinRequests) return std::nullopt;
+  const std::size_t enough = idempotent ? 1 : kMinRequestsOnce;
+  if (recent.count < enough) return std::nullopt;
   return recent.longest;
 }
 
--- a/src/coordination/route_durations.h
+++ b/src/coordination/route_durations.h
@@ -20,8 +20,9 @@
            monotonic_time now);
 
   /// Returns the longest recent duration of `route`; empty while there are too
-  /// few.
+  /// few. For an `idempotent` request one is enough.
   std::optional<std::chrono::milliseconds> Longest(const std::string& route,
+                                                   bool idempotent,
                                                    monotonic_time now) const;
 
  private:
