Answer what is owed at the forced end of a stop, also after a hold-up

What callers saw: connections closed with no byte at the end of a stop, if the process had been held up from just before the time to answer until after the forced end. Both are timers of one loop, and the check of the stop that was due first closed everything.

'answers have time to be written whatever the bound' failed for 1,000 and 1,500 ms.

Before the connections are closed, the loop takes one more turn, in which it reads what upstreams have answered, and each request that is left gets its answer. Between the time to answer and the forced end lie 100 ms at least, unless the whole bound is shorter than a second.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -35,6 +35,7 @@
 constexpr milliseconds kReachabilityCheckInterval{100};
 constexpr milliseconds kSettingsCheckInterval{1000};
 constexpr milliseconds kShutdownCheckInterval{50};
+constexpr milliseconds kLastTurnDelay{1};
 constexpr milliseconds kLastFlushLimit{50};
 constexpr int kServiceUnavailable = 503;
 
@@ -274,11 +275,21 @@
 
   void ScheduleShutdownCheck() {
     loop_.ScheduleAfter(kShutdownCheckInterval, [this](monotonic_time now) {
-      if (port_shutdown(*stop_, callers_).Advance(now)) return StopLoop();
+      if (port_shutdown(*stop_, callers_).Advance(now)) return AwaitLastTurn();
       ScheduleShutdownCheck();
     });
   }
 
+  // A loop that was held up may come here before it has read the last answers
+  // of upstreams and before the deadlines of its requests have taken effect.
+  // The delay is one turn of the loop, in which it reads what has arrived.
+  void AwaitLastTurn() {
+    loop_.ScheduleAfter(kLastTurnDelay, [this](monotonic_time) {
+      service_.FinishAll();
+      StopLoop();
+    });
+  }
+
   void StopLoop() {
     log_line line("stopped");
     line.With("requests", static_cast<int64_t>(service_.ActiveCount()))
--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -125,6 +125,15 @@
     if (timer_.has_value()) ScheduleTimer();
   }
 
+  // Answers with what is known by now.
+  void FinishNow() {
+    const auto self = shared_from_this();
+    const monotonic_time now = loop_context::Now();
+    run_.FinishBy(now);
+    run_.OnTimer(now);
+    ScheduleTimer();
+  }
+
   const route& Route() const { return run_.Route(); }
   bool HasReachedUpstream() const { return run_.Statistics().attempts > 0; }
   milliseconds Age() const {
@@ -395,6 +404,11 @@
   }
 }
 
+void entry_service::FinishAll() {
+  const std::set<std::shared_ptr<active_request>> all = active_;
+  for (const auto& each : all) each->FinishNow();
+}
+
 // A request in progress shows that one like it may take as long as it has.
 bool entry_service::MayTakeWhileStopping(const active_request& request) const {
   const monotonic_time now = loop_context::Now();
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -39,6 +39,8 @@
   /// reconnect to another instance, refuses requests that may take longer than
   /// `plan` leaves them, and answers all others in time.
   void BeginStop(const shutdown_plan& plan);
+  /// Answers each request in progress with what is known by now.
+  void FinishAll();
   /// Returns whether the routes of more than half of the recent requests cannot
   /// be served because their upstreams are unreachable.
   bool MostRequestsUnservable(monotonic_time now) const;
--- a/src/coordination/shutdown_plan.cc
+++ b/src/coordination/shutdown_plan.cc
@@ -1,5 +1,6 @@
 #include "coordination/shutdown_plan.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace papayaglade {
@@ -13,7 +14,10 @@
 constexpr double kClosePortShare = 0.73;
 constexpr double kCloseIdleShare = 0.75;
 constexpr double kAnswerShare = 0.9;
+constexpr double kMinAnswerShare = 0.8;
 constexpr double kForcedEndShare = 0.93;
+// Time to write the answers, which a short bound need not leave by its shares.
+constexpr milliseconds kWriteTime{100};
 
 }  // namespace
 
@@ -32,7 +36,10 @@
   return AtShare(kCloseIdleShare);
 }
 
-monotonic_time shutdown_plan::AnswerBy() const { return AtShare(kAnswerShare); }
+monotonic_time shutdown_plan::AnswerBy() const {
+  return std::min(AtShare(kAnswerShare),
+                  std::max(AtShare(kMinAnswerShare), ForcedEnd() - kWriteTime));
+}
 
 monotonic_time shutdown_plan::ForcedEnd() const {
   return AtShare(kForcedEndShare);
--- a/tests/unit/shutdown_plan_test.cc
+++ b/tests/unit/shutdown_plan_test.cc
@@ -59,4 +59,14 @@
   }
 }
 
+// Guards against a bound so small that the answers have no time to be written:
+// the shutdown is checked at intervals of 50 ms.
+TEST_CASE("answers have time to be written whatever the bound", "[stop]") {
+  for (const int bound : {1000, 1500, 6000}) {
+    CAPTURE(bound);
+    const shutdown_plan plan(kStart, milliseconds(bound));
+    CHECK(plan.ForcedEnd() - plan.AnswerBy() >= milliseconds(50));
+  }
+}
+
 }  // namespace papayaglade
