Count a stop from when the signal may have been sent

What callers saw: no answer before SIGKILL, if the process stood still when SIGTERM was sent and handled it 0.8 s late: all times of the stop were counted from then.

A periodic timer shows whether the loop has stalled; then the stop counts from the last time that it ran. The log line tells by how much.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -17,6 +17,7 @@
 #include "app/store_object_applier.h"
 #include "app/structured_log.h"
 #include "coordination/shutdown_plan.h"
+#include "coordination/stall_monitor.h"
 #include "protocol/entry_settings_codec.h"
 
 namespace papayaglade {
@@ -178,6 +179,7 @@
 
   void ScheduleReachabilityCheck() {
     loop_.ScheduleAfter(kReachabilityCheckInterval, [this](monotonic_time now) {
+      stalls_.OnTimer(now);
       CheckReachability(now);
       ScheduleReachabilityCheck();
     });
@@ -262,14 +264,18 @@
   }
 
   void BeginShutdown() {
-    stop_.emplace(loop_context::Now(), settings_.bounds.shutdown_timeout);
+    const monotonic_time now = loop_context::Now();
+    stop_.emplace(stalls_.EarliestTime(now), settings_.bounds.shutdown_timeout);
+    const auto late =
+        std::chrono::duration_cast<milliseconds>(now - stop_->Start());
     service_.BeginStop(*stop_);
     registry_.Leave();
     mirror_.StopServing();
     log_.Write(
         structured_log::kind::kEvent,
         log_line("stopping")
-            .With("requests", static_cast<int64_t>(service_.ActiveCount())));
+            .With("requests", static_cast<int64_t>(service_.ActiveCount()))
+            .With("late_ms", late.count()));
     ScheduleShutdownCheck();
   }
 
@@ -325,6 +331,7 @@
   store_object_applier applier_;
   store_mirror mirror_;
   instance_registry registry_;
+  stall_monitor stalls_{kReachabilityCheckInterval, loop_context::Now()};
   bool diverting_ = false;
   std::optional<shutdown_plan> stop_;  ///< Empty until the stop begins.
 };
