Read the settings once more when a stop begins

What callers saw: no answer within the bound, if the settings file had changed shutdown_s without a signal less than a second before SIGTERM; the file is read once a second.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -264,6 +264,7 @@
   }
 
   void BeginShutdown() {
+    ReloadSettings();  // The bound may have changed since the last check.
     const monotonic_time now = loop_context::Now();
     stop_.emplace(stalls_.EarliestTime(now), settings_.bounds.shutdown_timeout);
     const auto late =
