Answer what serve has accepted before its process ends

Cause: Shutdown waited for the drains until the bound and then stopped all workers, whatever was in progress; requests were taken until the port closed, however long they may take. The handover of stewardships came first and could use up the time of the callers as well, since it waits for the last requests to the released upstreams.

Fix: shutdown_plan sets the times, as for `entry`. From SIGTERM on, the router moves the answer of each open request to nine tenths of the bound, where it ends with its ordinary late answer, and refuses new ones that cannot be answered by then, by route_durations, as not run. The callers' drain begins at the latest when the port has to close. What is still open at the forced end has a line `unanswered` and counts in the metric.

The set of sessions of http_server outlives its sessions now; it was destroyed before them when the process ended with open connections.

--- a/src/app/router_worker.cc
+++ b/src/app/router_worker.cc
@@ -4,6 +4,8 @@
 #include <random>
 #include <utility>
 
+#include "app/unanswered_log.h"
+#include "coordination/shutdown_plan.h"
 #include "state/batch_refusal.h"
 
 namespace papayaglade {
@@ -34,6 +36,7 @@
       engine_(self, settings.data_centre, settings.limits.requests_in_flight,
               std::random_device{}()),
       claims_(platform, settings.platform_timeout),
+      metrics_(metrics),
       log_(metrics) {}
 
 router_worker::~router_worker() { Stop(); }
@@ -49,6 +52,7 @@
   stopping_ = true;
   inbox_.Close();
   thread_.Join();
+  ReportUnanswered();
 }
 
 void router_worker::Run() {
@@ -123,6 +127,11 @@
   event.reply(log_.Explain(event.request_id));
 }
 
+void router_worker::Handle(stop_event& event) {
+  stop_began_ = event.start;
+  engine_.BeginStop(shutdown_plan(event.start, event.bound), timer_.Now());
+}
+
 void router_worker::Handle(drain_event& event) {
   drain_callbacks_.push_back(std::move(event.done));
 }
@@ -195,4 +204,16 @@
   for (const auto& done : std::exchange(drain_callbacks_, {})) done();
 }
 
+void router_worker::ReportUnanswered() {
+  const monotonic_time now = timer_.Now();
+  for (const auto& each : std::exchange(callers_, {})) {
+    const caller_event& caller = each.second;
+    LogUnanswered({caller.request.request_id, caller.request.workload,
+                   caller.arrival, stop_began_,
+                   engine_.MayHaveRun(each.first) ? awaited::kAnswer
+                                                  : awaited::kCapacity},
+                  now, metrics_);
+  }
+}
+
 }  // namespace papayaglade
--- a/src/app/router_worker.h
+++ b/src/app/router_worker.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +32,7 @@
   ~router_worker();
 
   void Start();
+  /// Ends the thread. Logs each request that is owed an answer.
   void Stop();
 
  private:
@@ -46,6 +48,7 @@
   void Handle(platform_event& event);
   void Handle(status_query& event);
   void Handle(explain_query& event);
+  void Handle(stop_event& event);
   void Handle(drain_event& event);
 
   void PerformActions();
@@ -59,6 +62,7 @@
   bool Deliver(const std::string& steward, send_batch& action);
   /// Calls the drain callbacks once no query is open.
   void ReportDrained();
+  void ReportUnanswered();
 
   const instance_identity self_;
   timer_service& timer_;
@@ -67,12 +71,14 @@
   router_ring& inbox_;
   query_engine engine_;
   claim_client claims_;
+  metrics_sink& metrics_;
   request_log log_;
   worker_thread thread_;
   std::atomic<bool> stopping_{false};
   timer_service::subscription subscription_ = 0;
   std::unordered_map<std::uint64_t, caller_event> callers_;
   std::vector<std::function<void()>> drain_callbacks_;
+  std::optional<monotonic_time> stop_began_;
 };
 
 }  // namespace papayaglade
--- a/src/app/server.cc
+++ b/src/app/server.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <chrono>
 #include <future>
 #include <thread>
@@ -13,6 +14,8 @@
 #include "app/readiness.h"
 #include "app/router_worker.h"
 #include "app/steward_worker.h"
+#include "app/unanswered_log.h"
+#include "coordination/shutdown_plan.h"
 #include "protocol/caller_codec.h"
 #include "transport/http_server.h"
 #include "transport/peer_links.h"
@@ -94,33 +97,42 @@
 
   // Stops new work first: the balancer sees that the instance is not ready, and
   // stewardships are handed over. Then drains accepted work in the order of its
-  // flow: callers, router, stewards.
+  // flow: callers, router, stewards. A handover that takes long does not use up
+  // the callers' time.
   void Shutdown() {
-    const monotonic_time end =
-        timer_.Now() + settings_.coordination.shutdown_timeout;
+    const coordination_settings& bounds = settings_.coordination;
+    const shutdown_plan plan(timer_.Now(), bounds.shutdown_timeout);
     readiness_.BeginShutdown();
+    Push(router_ring_, stop_event{plan.Start(), bounds.shutdown_timeout});
     std::future<void> handed_over = Drain(control_ring_);
-    std::this_thread::sleep_for(settings_.coordination.balancer_delay);
-    WaitForDrain(handed_over, end, "control");
+    std::this_thread::sleep_until(
+        std::min(plan.Start() + bounds.balancer_delay, plan.ClosePort()));
+    handed_over.wait_until(plan.ClosePort());
     std::future<void> callers_done = DrainCallers();
-    WaitForDrain(callers_done, end, "callers");
+    WaitForDrain(callers_done, plan, "callers");
+    WaitForDrain(handed_over, plan, "control");
     std::future<void> queries_done = Drain(router_ring_);
-    WaitForDrain(queries_done, end, "router");
+    WaitForDrain(queries_done, plan, "router");
     std::future<void> upstreams_done = Drain(steward_ring_);
-    WaitForDrain(upstreams_done, end, "stewards");
+    WaitForDrain(upstreams_done, plan, "stewards");
     Stop();
+    LogUnwritten(plan);
   }
 
  private:
+  // A full ring gets room soon, because its worker is still running.
+  template <typename Ring, typename Event>
+  static void Push(Ring& ring, const Event& event) {
+    while (!ring.TryPush(event)) std::this_thread::sleep_for(kRingRetryDelay);
+  }
+
   template <typename Ring>
   // Returns a future that becomes ready when the worker of `ring` has finished
   // its accepted work.
   static std::future<void> Drain(Ring& ring) {
     const auto done = std::make_shared<std::promise<void>>();
     std::future<void> finished = done->get_future();
-    const drain_event event{[done] { done->set_value(); }};
-    // A full ring gets room soon, because its worker is still running.
-    while (!ring.TryPush(event)) std::this_thread::sleep_for(kRingRetryDelay);
+    Push(ring, drain_event{[done] { done->set_value(); }});
     return finished;
   }
 
@@ -132,8 +144,10 @@
   }
 
   static void WaitForDrain(const std::future<void>& finished,
-                           monotonic_time end, const char* worker) {
-    if (finished.wait_until(end) == std::future_status::ready) return;
+                           const shutdown_plan& plan, const char* worker) {
+    if (finished.wait_until(plan.ForcedEnd()) == std::future_status::ready) {
+      return;
+    }
     LOG(ERROR) << "event=shutdown_bound_passed duty=" << worker;
   }
 
@@ -149,6 +163,14 @@
     timer_.Stop();
   }
 
+  void LogUnwritten(const shutdown_plan& plan) {
+    for (unwritten_answer& each : callers_.Unwritten()) {
+      LogUnanswered({std::move(each.request_id), "", each.read_at, plan.Start(),
+                     awaited::kWrite},
+                    timer_.Now(), metrics_);
+    }
+  }
+
   static std::string BindFailure(const std::string& port,
                                  const std::string& why) {
     return "cannot listen for " + port + ": " + why +
@@ -179,8 +201,11 @@
                                  std::to_string(++last_request_number_);
     }
     event.arrival = timer_.Now();
-    event.reply = [respond](const caller_outcome& outcome) {
-      respond(FormatCallerOutcome(outcome));
+    event.reply = [respond, id = event.request.request_id](
+                      const caller_outcome& outcome) {
+      http_response response = FormatCallerOutcome(outcome);
+      response.request_id = id;
+      respond(std::move(response));
     };
     if (router_ring_.TryPush(std::move(event))) return;
     respond(FormatCallerError({error_kind::kOverloaded, "",
--- a/src/app/server.h
+++ b/src/app/server.h
@@ -21,8 +21,8 @@
   /// error message with a remedy.
   std::string Start();
 
-  /// Drains accepted work for at most the shutdown bound, then stops all
-  /// workers.
+  /// Answers each accepted request and stops all workers within the shutdown
+  /// bound. Logs the requests whose answers are not complete by then.
   void Shutdown();
 
  private:
--- a/src/coordination/query_engine.cc
+++ b/src/coordination/query_engine.cc
@@ -12,6 +12,10 @@
 // reported down.
 constexpr std::chrono::milliseconds kStewardRetryDelay{500};
 
+std::chrono::milliseconds Since(monotonic_time start, monotonic_time end) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(end - start);
+}
+
 }  // namespace
 
 query_engine::query_engine(const instance_identity& self,
@@ -52,14 +56,23 @@
   spec.start = arrival;
   spec.deadline = arrival + request.deadline.value_or(route.work->deadline);
   spec.request = std::move(request);
+  if (stop_.has_value() && !MayTakeWhileStopping(spec, now)) {
+    return error{error_kind::kUnavailable, "",
+                 "this instance is stopping and may have too little time left "
+                 "for the request",
+                 "nothing ran: ask another instance"};
+  }
   const std::uint64_t number = spec.number;
   open_request opened{
       route.work->repeatable
           ? run(query_run(std::move(spec), context_, StateOf(*route.work)))
           : run(single_run(std::move(spec), context_)),
-      monotonic_time()};
+      route.work->name, arrival, monotonic_time()};
   open_requests_.emplace(number, std::move(opened));
-  Apply(number, now, [now](auto& each) { each.Start(now); });
+  Apply(number, now, [this, now](auto& each) {
+    if (stop_.has_value()) each.FinishBy(stop_->AnswerBy());
+    each.Start(now);
+  });
   return number;
 }
 
@@ -104,6 +117,20 @@
   }
 }
 
+void query_engine::BeginStop(const shutdown_plan& plan, monotonic_time now) {
+  stop_ = plan;
+  ApplyToAll(now, [&plan](auto& each) { each.FinishBy(plan.AnswerBy()); });
+}
+
+bool query_engine::MayHaveRun(std::uint64_t query) const {
+  const auto found = open_requests_.find(query);
+  if (found == open_requests_.end()) return false;
+  const auto sent = [](const auto& each) {
+    return each.Counts().first_attempts > 0;
+  };
+  return std::visit(sent, found->second.state);
+}
+
 std::optional<monotonic_time> query_engine::NextTimer() const {
   if (timers_.empty()) return std::nullopt;
   return timers_.begin()->first;
@@ -146,6 +173,9 @@
   const auto flush = [&](auto& each) { each.Flush(now, requested); };
   std::visit(flush, request.state);
   for (query_action& each : requested) {
+    if (const auto* settled = std::get_if<settle_request>(&each)) {
+      OnAnswered(request, settled->counts, now);
+    }
     actions_.push_back({query, std::move(each)});
   }
   timers_.erase({request.next_timer, query});
@@ -159,6 +189,29 @@
   timers_.insert({request.next_timer, query});
 }
 
+void query_engine::OnAnswered(open_request& request,
+                              const attempt_counts& counts,
+                              monotonic_time now) {
+  request.is_answered = true;
+  if (counts.first_attempts == 0) return;
+  durations_.Add(request.workload, Since(request.start, now), now);
+}
+
+// A request in progress shows that one like it may take as long as it has.
+bool query_engine::MayTakeWhileStopping(const query_spec& spec,
+                                        monotonic_time now) const {
+  const workload& work = *spec.route.work;
+  auto longest = durations_.Longest(work.name, now);
+  for (const auto& each : open_requests_) {
+    if (!longest.has_value()) break;
+    const open_request& other = each.second;
+    if (other.is_answered || other.workload != work.name) continue;
+    longest = std::max(*longest, Since(other.start, now));
+  }
+  const auto allowed = Since(now, spec.deadline);
+  return stop_->MayTake(TimeNeeded(longest, work.repeatable, allowed), now);
+}
+
 workload_state& query_engine::StateOf(const workload& work) {
   hedge_percentiles_[work.name] = work.hedge_percentile;
   std::unique_ptr<workload_state>& state = workloads_[work.name];
--- a/src/coordination/query_engine.h
+++ b/src/coordination/query_engine.h
@@ -16,6 +16,8 @@
 #include "coordination/query_action.h"
 #include "coordination/query_context.h"
 #include "coordination/query_run.h"
+#include "coordination/route_durations.h"
+#include "coordination/shutdown_plan.h"
 #include "coordination/single_run.h"
 
 namespace papayaglade {
@@ -55,10 +57,15 @@
   void OnClaim(std::uint64_t query, const claim_reply& reply,
                monotonic_time now);
   void OnTimer(monotonic_time now);
+  /// Answers all open requests by the time that `plan` sets. From now on, Open
+  /// refuses the requests that cannot be answered by then.
+  void BeginStop(const shutdown_plan& plan, monotonic_time now);
 
   /// Returns when OnTimer is due next; nothing if no request is open.
   std::optional<monotonic_time> NextTimer() const;
   std::size_t OpenCount() const { return open_requests_.size(); }
+  /// Returns whether `query` is open and may have been sent to an upstream.
+  bool MayHaveRun(std::uint64_t query) const;
   std::vector<workload_status> Workloads() const;
 
   /// Returns the actions requested since the last call.
@@ -68,7 +75,10 @@
   using run = std::variant<query_run, single_run>;
   struct open_request {
     run state;
+    std::string workload;
+    monotonic_time start;
     monotonic_time next_timer;
+    bool is_answered = false;
   };
 
   template <typename Event>
@@ -77,6 +87,10 @@
   void ApplyToAll(monotonic_time now, const Event& event);
   void CollectActions(std::uint64_t query, open_request& request,
                       monotonic_time now);
+  /// Records how long an answered request took.
+  void OnAnswered(open_request& request, const attempt_counts& counts,
+                  monotonic_time now);
+  bool MayTakeWhileStopping(const query_spec& spec, monotonic_time now) const;
   workload_state& StateOf(const workload& work);
 
   query_context context_;
@@ -87,6 +101,8 @@
   std::set<std::pair<monotonic_time, std::uint64_t>> timers_;
   std::map<std::string, std::unique_ptr<workload_state>> workloads_;
   std::map<std::string, double> hedge_percentiles_;
+  route_durations durations_;          ///< By workload.
+  std::optional<shutdown_plan> stop_;  ///< Empty until the stop begins.
   std::vector<engine_action> actions_;
 };
 
--- a/src/coordination/query_run.h
+++ b/src/coordination/query_run.h
@@ -34,6 +34,8 @@
   /// Handles a change of the routes: sends the attempts that waited for it.
   void OnRoutes(monotonic_time now);
   void OnTimer(monotonic_time now);
+  /// Lets the query be answered by `time`, because the instance stops then.
+  void FinishBy(monotonic_time time) { rule_.FinishBy(time); }
   /// Appends the requested actions to `out`.
   void Flush(monotonic_time now, query_actions& out);
 
--- a/src/coordination/settle_rule.h
+++ b/src/coordination/settle_rule.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYAGLADE_COORDINATION_SETTLE_RULE_H_
 #define PAPAYAGLADE_COORDINATION_SETTLE_RULE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 
@@ -19,6 +20,10 @@
   /// Returns the time by which the answer is sent, a little before the
   /// deadline.
   monotonic_time AnswerBy() const { return answer_by_; }
+  /// Moves the time of the answer to `time` if that is earlier.
+  void FinishBy(monotonic_time time) {
+    answer_by_ = std::min(answer_by_, time);
+  }
   /// Returns the time from which less than full coverage may be accepted.
   monotonic_time SettleFrom() const { return settle_from_; }
   double Minimum() const { return minimum_coverage_; }
--- a/src/coordination/single_run.h
+++ b/src/coordination/single_run.h
@@ -28,6 +28,9 @@
   void OnRoutes(monotonic_time now);
   void OnClaim(const claim_reply& reply, monotonic_time now);
   void OnTimer(monotonic_time now);
+  /// Lets the caller be answered by `time`, because the instance stops then.
+  /// A later result is still recorded under the request key.
+  void FinishBy(monotonic_time time) { rule_.FinishBy(time); }
   void Flush(monotonic_time now, query_actions& out);
 
   monotonic_time NextTimer() const;
--- a/src/protocol/http_message.h
+++ b/src/protocol/http_message.h
@@ -18,6 +18,7 @@
   int status = 200;
   std::string content_type = "application/json";
   std::string body;
+  std::string request_id = {};  ///< Names the request in logs; not sent.
 };
 
 /// Percent-encodes `text` for use in one segment of a request target.
--- a/src/state/events.h
+++ b/src/state/events.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYAGLADE_STATE_EVENTS_H_
 #define PAPAYAGLADE_STATE_EVENTS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -88,6 +89,13 @@
   std::function<void(std::string json)> reply;
 };
 
+/// Tells the router that the instance stops: the process is killed `bound`
+/// after `start`.
+struct stop_event {
+  monotonic_time start;
+  std::chrono::milliseconds bound{0};
+};
+
 /// Asks a worker to finish the work it has accepted. It then calls `done`.
 struct drain_event {
   std::function<void()> done;
@@ -96,7 +104,7 @@
 using router_event =
     std::variant<tick, view_update, caller_event, results_event,
                  peer_link_event, platform_event, status_query, explain_query,
-                 drain_event>;
+                 stop_event, drain_event>;
 
 // Commands to and events from the upstream connections.
 
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "protocol/caller_codec.h"
 #include "state/time.h"
@@ -84,6 +85,8 @@
 
   void Stop() { thread_.Stop(); }
 
+  std::vector<unwritten_answer> Unwritten() const;
+
  private:
   class session;
 
@@ -125,10 +128,12 @@
 
   port_limits limits_;
   handler handler_;
+  // Outlives the sessions, which end with the thread's event loop at the
+  // latest.
+  std::unordered_set<session*> sessions_;
   io_thread thread_;
   tcp::acceptor acceptor_;
   asio::steady_timer drain_timer_;
-  std::unordered_set<session*> sessions_;
   bool listening_ = false;
   bool draining_ = false;
   std::chrono::milliseconds drain_min_idle_{0};
@@ -156,6 +161,11 @@
     Read();
   }
 
+  std::optional<unwritten_answer> Unwritten() const {
+    if (!writing_ || request_id_.empty()) return std::nullopt;
+    return unwritten_answer{request_id_, read_at_};
+  }
+
   void CloseIfIdle(monotonic_time now, std::chrono::milliseconds min_idle) {
     if (!reading_ || request_started_) return;
     if (buffer_.size() > 0 || now - idle_since_ < min_idle) return;
@@ -227,6 +237,7 @@
   void Dispatch() {
     const auto& message = parser_->get();
     keep_alive_ = message.keep_alive();
+    read_at_ = monotonic_clock::now();
     http_request request{
         std::string(message.method_string()), std::string(message.target()),
         std::string(message[http::field::content_type]), message.body()};
@@ -254,11 +265,14 @@
     response_.set(http::field::content_type, response.content_type);
     response_.keep_alive(keep_alive_);
     response_.body() = std::move(response.body);
+    request_id_ = std::move(response.request_id);
+    writing_ = true;
     response_.prepare_payload();
     stream_.expires_after(server_.limits_.header_timeout);
     http::async_write(
         stream_, response_,
         [self = this->shared_from_this()](error_code failed, std::size_t) {
+          self->writing_ = false;
           if (failed || !self->keep_alive_) return self->Close();
           self->Read();
         });
@@ -282,7 +296,10 @@
   http::response<http::string_body> response_;
   bool reading_ = false;          // Waits for a request or reads one.
   bool request_started_ = false;  // The first byte of a request has arrived.
+  bool writing_ = false;          // Writes a response.
   bool keep_alive_ = true;
+  std::string request_id_;  // Of the response that is being written.
+  monotonic_time read_at_;  // When the latest request was read.
   monotonic_time idle_since_;
 };
 
@@ -293,6 +310,15 @@
   std::make_shared<session>(*this, std::move(socket))->Start();
 }
 
+std::vector<unwritten_answer> http_server::implementation::Unwritten() const {
+  std::vector<unwritten_answer> all;
+  for (const session* each : sessions_) {
+    std::optional<unwritten_answer> answer = each->Unwritten();
+    if (answer.has_value()) all.push_back(std::move(*answer));
+  }
+  return all;
+}
+
 void http_server::implementation::PollDrain() {
   const monotonic_time now = monotonic_clock::now();
   const std::vector<session*> open(sessions_.begin(), sessions_.end());
@@ -333,4 +359,8 @@
 
 void http_server::Stop() { implementation_->Stop(); }
 
+std::vector<unwritten_answer> http_server::Unwritten() const {
+  return implementation_->Unwritten();
+}
+
 }  // namespace papayaglade
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -6,13 +6,21 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "protocol/http_message.h"
 #include "state/identity.h"
 #include "state/instance_settings.h"
+#include "state/time.h"
 
 namespace papayaglade {
 
+/// An answer that its caller has not taken whole.
+struct unwritten_answer {
+  std::string request_id;
+  monotonic_time read_at;  ///< When the request was read.
+};
+
 /// An HTTP/1.1 server that runs on its own thread and enforces `port_limits`.
 class http_server {
  public:
@@ -48,6 +56,8 @@
 
   /// Stops the thread at once; requests in progress are not answered.
   void Stop();
+  /// Returns the answers that Stop left unwritten, in whole or in part.
+  std::vector<unwritten_answer> Unwritten() const;
 
  private:
   class implementation;
--- a/tests/unit/http_server_test.cc
+++ b/tests/unit/http_server_test.cc
@@ -179,4 +179,33 @@
   CHECK(serves);
 }
 
+// Guards against an end of the process that leaves an answer unwritten without
+// a trace.
+TEST_CASE("an answer that its caller does not read is known at the end",
+          "[http][stop]") {
+  constexpr std::size_t kBytes = 64 * 1024 * 1024;
+  std::promise<void> first;
+  std::promise<void> later;
+  test_server server(port_limits(), [&](const http_request& request,
+                                        const http_server::responder& respond) {
+    if (request.body.empty()) return later.set_value();
+    http_response response;
+    response.body.assign(kBytes, 'x');
+    response.request_id = "r-1";
+    respond(std::move(response));
+    first.set_value();
+  });
+  const raw_caller silent(server.Port());
+  const raw_caller other(server.Port());
+  silent.Send(kRequest);
+  first.get_future().wait();
+  // This is read once the answer to the first request is being written.
+  other.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  later.get_future().wait();
+  server.Server().Stop();
+  const auto unwritten = server.Server().Unwritten();
+  REQUIRE(unwritten.size() == 1);
+  CHECK(unwritten[0].request_id == "r-1");
+}
+
 }  // namespace papayaglade
