Go on in serve when the reader of its log is gone

Callers saw: all requests that an instance of `serve` had accepted ended without an answer when the reader of its standard error went away; the first log line after that ended the process by SIGPIPE.

Cause: only `entry` ignores SIGPIPE, in its structured log.

Fix: `serve` ignores SIGPIPE before it starts. This is not done for all commands: the output of one like `bench` is read by pipes that end it on purpose. The structured log keeps its own line, which its unit test guards.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -51,6 +51,8 @@
     PrintFaults(faults, false);
     return exit_code::kBadInput;
   }
+  // A reader of the log that is gone must not end requests.
+  std::signal(SIGPIPE, SIG_IGN);
   const sigset_t signals = BlockShutdownSignals();
   server instance(settings);
   const std::string failed = instance.Start();
--- a/tests/scenarios/runner/steps.py
+++ b/tests/scenarios/runner/steps.py
@@ -48,13 +48,13 @@
 
     # Processes
 
-    def start(self, words, _):
+    def start(self, words, options):
         if not self.system.processes:
             self.system.start_standins()
             for service in self.topology.snapshots:
                 self.put_snapshots(service)
         for name in words or self.topology.instances:
-            self.system.start_instance(name)
+            self.system.start_instance(name, options.get("unread_log", False))
 
     def kill(self, words, _):
         for name in self.targets(words):
--- a/tests/scenarios/runner/system.py
+++ b/tests/scenarios/runner/system.py
@@ -46,12 +46,19 @@
             self.ports[purpose] = self.port_block.allocate()
         return self.ports[purpose]
 
-    def launch(self, name, *command):
-        log = open(os.path.join(self.folder, f"{name}.log"), "ab")
+    def launch(self, name, *command, unread=False):
+        log = self.pipe_without_reader() if unread else open(
+            os.path.join(self.folder, f"{name}.log"), "ab")
         self.processes[name] = subprocess.Popen(
             command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
 
+    @staticmethod
+    def pipe_without_reader():
+        reader, writer = os.pipe()
+        os.close(reader)
+        return open(writer, "ab")
+
     def start_standins(self):
         topology = self.topology
         callers = [*topology.instances, "operators"]
@@ -85,7 +92,7 @@
             json.dump(value, file, indent=1)
         return path
 
-    def start_instance(self, name):
+    def start_instance(self, name, unread_log=False):
         if name in self.processes and self.processes[name].poll() is None:
             return
         loopback = {"address": "127.0.0.1"}
@@ -107,7 +114,7 @@
             settings["coordination"] = self.topology.settings
         path = self.write(f"{name}.json", settings)
         self.launch(name, os.path.join(self.build, "papayaglade"), "serve",
-                    "--settings", path)
+                    "--settings", path, unread=unread_log)
         self.report_instances()
 
     def report_instances(self, leaving=()):
