Answer a request that is read as its idle connection closes

Callers saw: at a planned stop of `serve`, single requests on kept-alive connections were handled, and the connection closed without their answer.

Cause: closing an idle connection shut down its sending side at once. If the event loop had read the request's bytes already, and their handler waited behind the drain's timer in the same turn of the loop, the request was handled after that and its answer could not be written. Bytes that lay unread in the socket at that moment were thrown away.

Evidence: the new test sends on 100 connections while a drain closes idle ones at once, 20 times.

Fix: closing an idle connection only cancels its pending read. A read that has succeeded goes on and its request is answered with Connection: close; one that was cancelled closes the connection. A connection with unread bytes is not idle.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -169,8 +169,11 @@
   void CloseIfIdle(monotonic_time now, std::chrono::milliseconds min_idle) {
     if (!reading_ || request_started_) return;
     if (buffer_.size() > 0 || now - idle_since_ < min_idle) return;
+    error_code ignored;
+    if (stream_.socket().available(ignored) > 0) return;
+    // A read that has succeeded already is not cancelled: its request is
+    // answered before the connection closes.
     stream_.cancel();
-    Close();
   }
 
  private:
@@ -189,7 +192,7 @@
     stream_.async_read_some(
         buffer_.prepare(kFirstReadBytes),
         [self = this->shared_from_this()](error_code failed, std::size_t n) {
-          if (failed) return;
+          if (failed) return self->Close();
           self->buffer_.commit(n);
           self->ReadRequest();
         });
--- a/tests/unit/http_server_test.cc
+++ b/tests/unit/http_server_test.cc
@@ -5,10 +5,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "transport/http_call.h"
 
@@ -208,4 +211,36 @@
   CHECK(unwritten[0].request_id == "r-1");
 }
 
+// Guards against a stop that closes a connection as idle whose request is being
+// read: the request ran, and its answer could not be written.
+TEST_CASE("a request that is handled as idle connections close is answered",
+          "[http][stop]") {
+  constexpr std::size_t kCallers = 100;
+  for (int round = 0; round < 20; ++round) {
+    std::atomic<std::size_t> handled{0};
+    test_server server(port_limits(),
+                       [&](const http_request& request,
+                           const http_server::responder& respond) {
+                         ++handled;
+                         Echo(request, respond);
+                       });
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (std::size_t i = 0; i < kCallers; ++i)
+      callers.push_back(std::make_unique<raw_caller>(server.Port()));
+    std::promise<void> drained;
+    std::thread sending([&] {
+      for (const auto& each : callers) each->Send(kRequest);
+    });
+    server.Server().Drain(std::chrono::milliseconds(0),
+                          [&drained] { drained.set_value(); });
+    sending.join();
+    std::size_t answered = 0;
+    for (const auto& each : callers) {
+      if (each->ReadAll().find("200 OK") != std::string::npos) ++answered;
+    }
+    drained.get_future().wait();
+    CHECK(answered == handled);
+  }
+}
+
 }  // namespace papayaglade
