--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -39,6 +39,8 @@
   /// reconnect to another instance, refuses requests that may take longer than
   /// `plan` leaves them, and answers all others in time.
   void BeginStop(const shutdown_plan& plan);
+  /// Answers each request in progress with what is known by now.
+  void FinishAll();
   /// Returns whether the routes of more than half of the recent requests cannot
   /// be served because their upstreams are unreachable.
   bool MostRequestsUnservable(monotonic_time now) const;
@@ -65,11 +67,17 @@
  private:
   class active_request;
 
-  /// Answers with a refusal and records it. `id` is empty when the request
-  /// could not be decoded, `route` when it has none.
+  /// What is known of a request that is refused.
+  struct refused_request {
+    std::string id;     ///< Empty if the request could not be decoded.
+    std::string route;  ///< Empty if it has none.
+    bool keep_alive = false;
+    bool head = false;  ///< True for a HEAD request, whose answer has no body.
+  };
+
+  /// Answers with a refusal and records it.
   void Refuse(const std::shared_ptr<caller_connection>& to,
-              const std::string& id, const std::string& route,
-              refused_answer answer, bool keep_alive);
+              const refused_request& request, refused_answer answer);
   /// Returns whether `request` is sure enough to be answered before the stop.
   bool MayTakeWhileStopping(const active_request& request) const;
   /// Learns from a request that has ended how long such a request takes.
--- a/src/coordination/query_engine.cc
+++ b/src/coordination/query_engine.cc
@@ -201,7 +201,7 @@
 bool query_engine::MayTakeWhileStopping(const query_spec& spec,
                                         monotonic_time now) const {
   const workload& work = *spec.route.work;
-  auto longest = durations_.Longest(work.name, now);
+  auto longest = durations_.Longest(work.name, work.repeatable, now);
   for (const auto& each : open_requests_) {
     if (!longest.has_value()) break;
     const open_request& other = each.second;
--- a/src/transport/http_exchange_channel.cc
+++ b/src/transport/http_exchange_channel.cc
@@ -1,6 +1,5 @@
 #include "transport/http_exchange_channel.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -8,6 +7,8 @@
 #include <charconv>
 #include <utility>
 
+#include "transport/http_parse_step.h"
+
 namespace papayaglade {
 
 namespace http = boost::beast::http;
@@ -68,7 +69,8 @@
 }
 
 bool http_exchange_channel::IsReusable() const {
-  return connected_ && !closed_ && keep_alive_ && !done_;
+  return connected_ && !closed_ && keep_alive_ && !done_ &&
+         !socket_->HasFailedWrite();
 }
 
 void http_exchange_channel::Connect() {
@@ -114,8 +116,7 @@
   unparsed_.append(bytes);
   while (!unparsed_.empty()) {
     error_code failed;
-    const std::size_t used =
-        parser_->put(boost::asio::buffer(unparsed_), failed);
+    const std::size_t used = ParseStep(*parser_, unparsed_, failed);
     unparsed_.erase(0, used);
     if (failed == http::error::need_more) {
       if (unparsed_.size() <= kMaxUnparsedBytes) return;
