Bound the memory of answers that callers do not read

The process can be ended for its memory, with all answers that it owes.

Cause: each answer that is not written is kept whole, and nothing bounds their sum over all connections of a port. The buffer of a written answer was kept, too, by its idle connection until the next answer.

The port now counts the bytes of unwritten answers, at the first write that the kernel does not take whole and at the end of the answer. Beyond 64 MiB, a new request is refused with 503 (cause unread; it has not run), so that the sum can grow only by requests in progress. If these bring it to 96 MiB, the connection whose answer has made no progress for longest is closed and logged as unanswered by=unread. Written answers give their memory back.

--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -15,7 +15,6 @@
 
 // Interval at which the counts of recent requests are halved.
 constexpr std::chrono::seconds kRequestCountHalfLife{2};
-
 struct outcome_text {
   const char* outcome;
   const char* cause;
@@ -297,6 +296,10 @@
     return Refuse(from, {request->id, "", request->keep_alive, head},
                   {refusal::kNoRoute, std::nullopt});
   }
+  if (!from->HasRoomForAnswers()) {
+    return Refuse(from, {request->id, target->name, request->keep_alive, head},
+                  {refusal::kUnread, std::nullopt});
+  }
   CountRequest(target->name, loop_context::Now());
   request_run::context context;
   context.configuration = routes_->Configuration();
--- a/src/state/entry_messages.cc
+++ b/src/state/entry_messages.cc
@@ -40,6 +40,8 @@
       return "timed_out";
     case refusal::kExpired:
       return "expired";
+    case refusal::kUnread:
+      return "unread";
     case refusal::kStopping:
       return "stopping";
     case refusal::kStopped:
--- a/src/state/entry_messages.h
+++ b/src/state/entry_messages.h
@@ -77,6 +77,7 @@
   kFailed,           ///< May have run; no valid answer was received.
   kTimedOut,         ///< May have run; the deadline has passed.
   kExpired,          ///< The deadline passed before it was sent.
+  kUnread,           ///< Not run; too many answers wait to be read.
   kStopping,         ///< Not run; this instance stops before it could end.
   kStopped,          ///< May have run; this instance stops too soon for it.
 };
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -66,8 +66,10 @@
     socket_->StartReading();
   }
   answer_unwritten_ = true;
+  const std::size_t size = bytes.size();
   socket_->Write(std::move(bytes));
   pending_at_timeout_start_ = socket_->PendingBytes();
+  if (answer_unwritten_) HoldBytes(size);
 }
 
 bool caller_connection::IsIdle() const {
@@ -91,6 +93,7 @@
   socket_->Close();
   const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
   if (on_disconnect) on_disconnect();
+  HoldBytes(0);
   const auto on_unwritten = std::exchange(on_unwritten_, {});
   for (const auto& each : on_unwritten) each();
   owner_.OnClosed(shared_from_this());
@@ -205,6 +208,7 @@
 void caller_connection::OnWritten() {
   answer_unwritten_ = false;
   on_unwritten_.clear();
+  HoldBytes(0);
   if (request_in_progress_ || closed_) return;
   const bool was_pending = std::exchange(pending_at_timeout_start_, 0) > 0;
   if (was_pending) ArmTimeout(owner_.Limits().idle_timeout);
@@ -214,6 +218,11 @@
   ArmTimeout(kCloseDelay);
 }
 
+void caller_connection::HoldBytes(std::size_t bytes) {
+  if (bytes == held_bytes_) return;
+  owner_.OnHeldBytes(*this, std::exchange(held_bytes_, bytes), bytes);
+}
+
 void caller_connection::ArmTimeout(std::chrono::milliseconds delay) {
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   const std::weak_ptr<caller_connection> weak = weak_from_this();
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -36,6 +36,13 @@
     /// and `close` set.
     virtual void OnMalformed(const std::shared_ptr<caller_connection>& from,
                              bool too_large) = 0;
+    /// Called when the memory that holds an unwritten answer of the connection
+    /// changes from `before` bytes to `after`. May close other connections.
+    virtual void OnHeldBytes(const caller_connection& of, std::size_t before,
+                             std::size_t after) = 0;
+    /// Returns false if no more requests may be run, because callers do not
+    /// read their answers.
+    virtual bool HasRoomForAnswers() const = 0;
     /// Called once, after the connection has closed.
     virtual void OnClosed(const std::shared_ptr<caller_connection>& from) = 0;
   };
@@ -57,8 +64,14 @@
     on_disconnect_ = std::move(on_disconnect);
   }
 
+  /// Returns false if a request should be refused rather than run, because the
+  /// callers of the port do not read their answers.
+  bool HasRoomForAnswers() const { return owner_.HasRoomForAnswers(); }
+
   /// Returns true if the last answer is not wholly in the kernel yet.
   bool HasUnwrittenAnswer() const { return answer_unwritten_; }
+  /// Returns when the kernel last accepted bytes of the unwritten answer.
+  monotonic_time LastWrite() const { return socket_->LastWrite(); }
   /// Adds a handler that is called if the connection closes before the last
   /// answer is written. It is dropped once the answer is written.
   void AddOnUnwritten(std::function<void()> on_unwritten) {
@@ -98,6 +111,7 @@
   void Drop(std::size_t bytes);
   void OnEnd(boost::system::error_code failed);
   void OnWritten();
+  void HoldBytes(std::size_t bytes);
   void ArmTimeout(std::chrono::milliseconds delay);
   void OnTimeout();
   void SendContinueIfExpected();
@@ -115,6 +129,7 @@
   /// Timer of the header, idle or write timeout; empty if none is running.
   std::optional<timer_queue::id> timeout_;
   std::size_t dropped_bytes_ = 0;
+  std::size_t held_bytes_ = 0;  ///< Size of the answer that is not written.
   /// Unwritten bytes when the timeout was started.
   std::size_t pending_at_timeout_start_ = 0;
   bool taking_requests_ = false;  ///< TakeRequests is running.
--- a/src/transport/caller_port.cc
+++ b/src/transport/caller_port.cc
@@ -17,6 +17,12 @@
 // A port that cannot accept is not woken by the end of the shortage.
 constexpr std::chrono::milliseconds kAcceptRetryInterval{20};
 
+// Answers that are not written take memory until they are read. Beyond the
+// first limit, no more requests are run. Beyond the second one, which answers
+// of requests in progress may reach, connections are closed.
+constexpr std::size_t kMaxHeldBytesToRun = 64UL * 1024 * 1024;
+constexpr std::size_t kMaxHeldBytes = 96UL * 1024 * 1024;
+
 // Returns true if a caller left before its connection was accepted.
 bool IsAborted(const error_code& failed) {
   return failed == boost::system::errc::connection_aborted ||
@@ -81,6 +87,31 @@
   service_.OnMalformed(from, too_large);
 }
 
+void caller_port::OnHeldBytes(const caller_connection& of, std::size_t before,
+                              std::size_t after) {
+  held_bytes_ = held_bytes_ - before + after;
+  if (after <= before) return;
+  while (held_bytes_ > kMaxHeldBytes && CloseLongestUnread(of)) {
+  }
+}
+
+bool caller_port::HasRoomForAnswers() const {
+  return held_bytes_ <= kMaxHeldBytesToRun;
+}
+
+bool caller_port::CloseLongestUnread(const caller_connection& kept) {
+  std::shared_ptr<caller_connection> longest;
+  for (const auto& each : connections_) {
+    if (each.get() == &kept || !each->HasUnwrittenAnswer()) continue;
+    if (longest == nullptr || each->LastWrite() < longest->LastWrite()) {
+      longest = each;
+    }
+  }
+  if (longest == nullptr) return false;
+  longest->Close(connection_end::kUnread);
+  return true;
+}
+
 void caller_port::OnClosed(const std::shared_ptr<caller_connection>& from) {
   connections_.erase(from);
 }
--- a/src/transport/caller_port.h
+++ b/src/transport/caller_port.h
@@ -11,7 +11,8 @@
 
 namespace papayaglade {
 
-/// Listens on an HTTP/1.1 port and owns the connections accepted there.
+/// Listens on an HTTP/1.1 port and owns the connections accepted there. Bounds
+/// the memory of answers that callers do not read.
 class caller_port : private caller_connection::owner {
  public:
   /// Interface that answers the requests received on a port.
@@ -48,6 +49,9 @@
                  caller_message message) override;
   void OnMalformed(const std::shared_ptr<caller_connection>& from,
                    bool too_large) override;
+  void OnHeldBytes(const caller_connection& of, std::size_t before,
+                   std::size_t after) override;
+  bool HasRoomForAnswers() const override;
   void OnClosed(const std::shared_ptr<caller_connection>& from) override;
 
   void WaitForConnection();
@@ -58,6 +62,9 @@
   /// fails, as when the process has no free descriptor.
   bool AcceptPending();
   bool IsFull() const { return connections_.size() >= max_connections_; }
+  /// Closes the connection whose unwritten answer has made no progress for the
+  /// longest time, except `kept`. Returns false if there is none.
+  bool CloseLongestUnread(const caller_connection& kept);
   /// Closes an idle connection. Returns whether another one may be accepted.
   bool MakeRoom();
 
@@ -66,6 +73,7 @@
   std::size_t max_connections_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::set<std::shared_ptr<caller_connection>> connections_;
+  std::size_t held_bytes_ = 0;  ///< Sizes of all answers that are not written.
 };
 
 }  // namespace papayaglade
--- a/src/transport/connection_end.cc
+++ b/src/transport/connection_end.cc
@@ -10,6 +10,8 @@
       return "caller_reset";
     case connection_end::kTimeout:
       return "timeout";
+    case connection_end::kUnread:
+      return "unread";
     case connection_end::kInstance:
       return "instance";
     case connection_end::kStopping:
--- a/src/transport/connection_end.h
+++ b/src/transport/connection_end.h
@@ -8,6 +8,7 @@
   kCallerClosed,  ///< The caller closed it in order.
   kCallerReset,   ///< The caller reset it, or the link broke.
   kTimeout,       ///< The header or idle timeout passed.
+  kUnread,        ///< The caller does not read, and memory is short.
   kInstance,      ///< The instance closed it: idle, or after its last answer.
   kStopping,      ///< The instance closed it because its process ends.
 };
--- a/src/transport/stream_socket.cc
+++ b/src/transport/stream_socket.cc
@@ -172,6 +172,7 @@
     const std::size_t count =
         socket_.write_some(asio::buffer(unwritten_), failed);
     if (failed == asio::error::would_block) {
+      last_write_ = loop_context::Now();
       waiting_to_write_ = true;
       socket_.async_wait(tcp::socket::wait_write,
                          [self = shared_from_this()](error_code broken) {
@@ -185,6 +186,7 @@
     if (failed) return OnWriteFailed(failed);
     unwritten_.erase(0, count);
   }
+  unwritten_.shrink_to_fit();  // An idle connection holds no answer's memory.
   if (handlers_.on_written) handlers_.on_written();
 }
 
--- a/src/transport/stream_socket.h
+++ b/src/transport/stream_socket.h
@@ -50,6 +50,9 @@
   /// write has failed.
   bool HasPendingWrite() const { return !unwritten_.empty(); }
   std::size_t PendingBytes() const { return unwritten_.size(); }
+  /// Returns when the kernel last accepted bytes, or was first offered those
+  /// that are pending. Valid while bytes are pending.
+  monotonic_time LastWrite() const { return last_write_; }
   /// Tells the peer that no more bytes follow. Called once all are written.
   void EndWriting();
   void Close();
@@ -72,6 +75,7 @@
   boost::asio::ip::tcp::socket socket_;
   handlers handlers_;
   std::string unwritten_;  ///< Bytes that the kernel has not accepted yet.
+  monotonic_time last_write_;
   /// Timer of the connect timeout; set while connecting.
   std::optional<timer_queue::id> connect_timeout_;
   boost::system::error_code write_failure_;
--- a/tests/unit/platform_wire_format_test.cc
+++ b/tests/unit/platform_wire_format_test.cc
@@ -212,6 +212,7 @@
   CHECK(status(refusal::kTimedOut) == "504");
   CHECK(status(refusal::kNoUpstream) == "503");
   CHECK(status(refusal::kAllRefused) == "503");
+  CHECK(status(refusal::kUnread) == "503");
   CHECK(status(refusal::kStopping) == "503");
   CHECK(status(refusal::kStopped) == "504");
   CHECK(status(refusal::kNoRoute) == "404");
