--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -306,6 +306,10 @@
     return Refuse(from, {request->id, "", request->keep_alive, head},
                   {refusal::kNoRoute, std::nullopt});
   }
+  if (!from->HasRoomForAnswers()) {
+    return Refuse(from, {request->id, target->name, request->keep_alive, head},
+                  {refusal::kUnread, std::nullopt});
+  }
   CountRequest(target->name, loop_context::Now());
   request_run::context context;
   context.configuration = routes_->Configuration();
