Answer pipelined requests in a stop, and log dropped bytes

Cause: during a stop, each answer carried Connection: close, and what lay behind it was cleared without a trace. The same held for refusals while diverting.

An answer now leaves its connection open while more has been received on it, so that the next request is taken or refused as any other in a stop; the last answer closes. What still lies behind a last answer, as when the caller itself asked to close or sent something malformed, is counted in one line, bytes_dropped, when the connection closes.

--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -104,8 +104,9 @@
   void Finish(entry_answer answer) override {
     const bool diverted =
         service_.diverting_ && std::holds_alternative<refused_answer>(answer);
-    const bool keep_alive =
-        request_->keep_alive && !service_.stop_.has_value() && !diverted;
+    const bool should_leave = service_.stop_.has_value() || diverted;
+    const bool keep_alive = request_->keep_alive &&
+                            (!should_leave || connection_->HasReceivedMore());
     const bool head = request_->method == "HEAD";
     RecordOutcome(answer);
     service_.RecordDuration(*this);
@@ -310,7 +311,8 @@
                                                        std::move(context));
   if (stop_.has_value()) {
     if (!MayTakeWhileStopping(*active)) {
-      return Refuse(from, {request->id, target->name, false, head},
+      return Refuse(from,
+                    {request->id, target->name, request->keep_alive, head},
                     {refusal::kStopping, milliseconds(0)});
     }
     active->FinishBy(stop_->AnswerBy());
@@ -342,7 +344,8 @@
     line.With("state_age_ms", StateAge());
   }
   log_.Write(structured_log::kind::kFailure, line);
-  const bool keep = request.keep_alive && !stop_.has_value();
+  const bool keep =
+      request.keep_alive && (!stop_.has_value() || to->HasReceivedMore());
   Deliver(to, wire_.EncodeAnswer(answer, request.head, keep), !keep, request.id,
           request.route, loop_context::Now());
 }
@@ -351,6 +354,7 @@
                             std::string answer, bool close,
                             const std::string& id, const std::string& route,
                             monotonic_time arrival) {
+  WatchDropped(*to, close, id, route);
   to->Respond(std::move(answer), close);
   if (!to->HasUnwrittenAnswer()) return;
   const std::weak_ptr<caller_connection> weak = to;
@@ -363,6 +367,21 @@
   });
 }
 
+void entry_service::WatchDropped(caller_connection& connection, bool close,
+                                 const std::string& id,
+                                 const std::string& route) {
+  if (!close && !connection.HasReceivedMore()) {
+    return connection.SetOnDropped(nullptr);
+  }
+  connection.SetOnDropped([this, id, route](std::size_t bytes) {
+    log_.Write(structured_log::kind::kFailure,
+               log_line("bytes_dropped")
+                   .With("request", id)
+                   .With("route", route)
+                   .With("bytes", static_cast<std::int64_t>(bytes)));
+  });
+}
+
 owed_answer entry_service::Owed(const std::string& id, const std::string& route,
                                 monotonic_time arrival) const {
   const monotonic_time now = loop_context::Now();
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -35,9 +35,10 @@
 
   void SetConfiguration(
       std::shared_ptr<const tier_configuration> configuration);
-  /// From now on closes each connection after its next answer, so that callers
-  /// reconnect to another instance, refuses requests that may take longer than
-  /// `plan` leaves them, and answers all others in time.
+  /// From now on closes each connection after the answers to what has been
+  /// received there, so that callers reconnect to another instance, refuses
+  /// requests that may take longer than `plan` leaves them, and answers all
+  /// others in time.
   void BeginStop(const shutdown_plan& plan);
   /// Returns whether the routes of more than half of the recent requests cannot
   /// be served because their upstreams are unreachable.
@@ -81,6 +82,10 @@
   /// Learns from a request that has ended how long such a request takes.
   void RecordDuration(const active_request& ended);
   void Remove(active_request* finished);
+  /// Logs the bytes behind the request `id` that are dropped if the connection
+  /// closes after its answer.
+  void WatchDropped(caller_connection& connection, bool close,
+                    const std::string& id, const std::string& route);
   /// Sends an answer, and watches it until it is written.
   void Deliver(const std::shared_ptr<caller_connection>& to, std::string answer,
                bool close, const std::string& id, const std::string& route,
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -61,6 +61,7 @@
   ResetParser();
   ArmTimeout(owner_.Limits().idle_timeout);
   if (close) {
+    dropped_bytes_ += received_.size() - consumed_;
     received_.clear();
     consumed_ = 0;
     socket_->StartReading();
@@ -96,6 +97,7 @@
   HoldBytes(0);
   const auto on_unwritten = std::exchange(on_unwritten_, {});
   for (const auto& each : on_unwritten) each();
+  ReportDropped();
   owner_.OnClosed(shared_from_this());
 }
 
@@ -201,6 +203,13 @@
   if (dropped_bytes_ > kMaxDroppedBytes) socket_->PauseReading();
 }
 
+// A caller that leaves waits for no answer to what it has sent only in part.
+void caller_connection::ReportDropped() {
+  if (!IsEndedByCaller(end_)) dropped_bytes_ += received_.size() - consumed_;
+  const auto on_dropped = std::exchange(on_dropped_, nullptr);
+  if (on_dropped && dropped_bytes_ > 0) on_dropped(dropped_bytes_);
+}
+
 void caller_connection::OnEnd(error_code failed) {
   Close(failed ? connection_end::kCallerReset : connection_end::kCallerClosed);
 }
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -53,6 +53,9 @@
   /// Starts reading requests.
   void Start();
 
+  /// Returns true if bytes behind the request in progress have been received.
+  bool HasReceivedMore() const { return consumed_ < received_.size(); }
+
   /// Sends the complete answer `bytes`. If `close` is set, ends the connection
   /// after they have been written: what the caller still sends is dropped, and
   /// the connection is closed when the caller closes it or soon after.
@@ -64,6 +67,13 @@
     on_disconnect_ = std::move(on_disconnect);
   }
 
+  /// Sets a handler that is called if the connection closes and received bytes
+  /// have been dropped, as they follow the last answer. It replaces the one
+  /// before and may be empty.
+  void SetOnDropped(std::function<void(std::size_t bytes)> on_dropped) {
+    on_dropped_ = std::move(on_dropped);
+  }
+
   /// Returns false if a request should be refused rather than run, because the
   /// callers of the port do not read their answers.
   bool HasRoomForAnswers() const { return owner_.HasRoomForAnswers(); }
@@ -110,6 +120,8 @@
   /// Drops bytes that arrive after the last request.
   void Drop(std::size_t bytes);
   void OnEnd(boost::system::error_code failed);
+  /// Calls the handler of dropped bytes if there are any.
+  void ReportDropped();
   void OnWritten();
   void HoldBytes(std::size_t bytes);
   void ArmTimeout(std::chrono::milliseconds delay);
@@ -125,6 +137,7 @@
   std::size_t consumed_ = 0;
   std::function<void()> on_disconnect_;
   std::vector<std::function<void()>> on_unwritten_;
+  std::function<void(std::size_t bytes)> on_dropped_;
   connection_end end_ = connection_end::kInstance;
   /// Timer of the header, idle or write timeout; empty if none is running.
   std::optional<timer_queue::id> timeout_;
--- a/tests/unit/entry_refusal_test.cc
+++ b/tests/unit/entry_refusal_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <cstdio>
 #include <memory>
 #include <string>
 #include <thread>
@@ -42,8 +43,19 @@
     return received;
   }
 
+  /// Returns what the service has logged.
+  std::string Logged() {
+    log.Flush();
+    std::rewind(log_file.get());
+    std::string text(4096, ' ');
+    text.resize(std::fread(text.data(), 1, text.size(), log_file.get()));
+    return text;
+  }
+
   loop_context loop;
-  structured_log log{loop};
+  std::unique_ptr<std::FILE, int (*)(std::FILE*)> log_file{std::tmpfile(),
+                                                           std::fclose};
+  structured_log log{loop, fileno(log_file.get())};
   metrics_registry metrics;
   platform::platform_wire_format wire;
   reachability_monitor reachability;
@@ -69,6 +81,40 @@
   CHECK(received.substr(end_of_head + 4, 12) == "HTTP/1.1 404");
 }
 
+// Guards against requests that were read whole behind an answer and dropped
+// with it, because the instance stops.
+TEST_CASE("pipelined requests are answered while the instance stops",
+          "[entry]") {
+  empty_entry entry;
+  entry.service.BeginStop({loop_context::Now(), std::chrono::seconds(6)});
+  const std::string request =
+      "GET /none/ HTTP/1.1\r\nHost: h\r\nPapayaglade-Attempt-Id: a\r\n\r\n";
+  const std::string received = entry.Call(request + request + request);
+  std::size_t answers = 0;
+  for (std::size_t at = received.find("HTTP/1.1 404"); at != std::string::npos;
+       at = received.find("HTTP/1.1 404", at + 1)) {
+    ++answers;
+  }
+  CHECK(answers == 3);
+  CHECK(received.find("Connection: close") == received.rfind("Connection: "));
+  CHECK(entry.Logged().find("event=bytes_dropped") == std::string::npos);
+}
+
+// Guards against bytes of requests that end without a trace.
+TEST_CASE("bytes that are dropped behind the last answer are logged",
+          "[entry]") {
+  empty_entry entry;
+  const std::string request = "GET /none/ HTTP/1.1\r\nHost: h\r\n";
+  entry.Call(request +
+             "Papayaglade-Attempt-Id: a1\r\nConnection: close\r\n\r\n" +
+             request + "\r\n");
+  REQUIRE(
+      RunUntil(entry.loop, [&] { return entry.port.ConnectionCount() == 0; }));
+  CHECK(entry.Logged().find("event=bytes_dropped request=a1 route= bytes=" +
+                            std::to_string(request.size() + 2)) !=
+        std::string::npos);
+}
+
 TEST_CASE("a HEAD request for an operators' page gets no body", "[entry]") {
   empty_entry entry;
   operators_service pages;
