--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -17,6 +17,7 @@
 #include "app/store_object_applier.h"
 #include "app/structured_log.h"
 #include "coordination/shutdown_plan.h"
+#include "coordination/stall_monitor.h"
 #include "protocol/entry_settings_codec.h"
 
 namespace papayaglade {
@@ -35,6 +36,7 @@
 constexpr milliseconds kReachabilityCheckInterval{100};
 constexpr milliseconds kSettingsCheckInterval{1000};
 constexpr milliseconds kShutdownCheckInterval{50};
+constexpr milliseconds kLastTurnDelay{1};
 constexpr milliseconds kLastFlushLimit{50};
 constexpr int kServiceUnavailable = 503;
 
@@ -177,6 +179,7 @@
 
   void ScheduleReachabilityCheck() {
     loop_.ScheduleAfter(kReachabilityCheckInterval, [this](monotonic_time now) {
+      stalls_.OnTimer(now);
       CheckReachability(now);
       ScheduleReachabilityCheck();
     });
@@ -261,24 +264,39 @@
   }
 
   void BeginShutdown() {
-    stop_.emplace(loop_context::Now(), settings_.bounds.shutdown_timeout);
+    ReloadSettings();  // The bound may have changed since the last check.
+    const monotonic_time now = loop_context::Now();
+    stop_.emplace(stalls_.EarliestTime(now), settings_.bounds.shutdown_timeout);
+    const auto late =
+        std::chrono::duration_cast<milliseconds>(now - stop_->Start());
     service_.BeginStop(*stop_);
     registry_.Leave();
     mirror_.StopServing();
     log_.Write(
         structured_log::kind::kEvent,
         log_line("stopping")
-            .With("requests", static_cast<int64_t>(service_.ActiveCount())));
+            .With("requests", static_cast<int64_t>(service_.ActiveCount()))
+            .With("late_ms", late.count()));
     ScheduleShutdownCheck();
   }
 
   void ScheduleShutdownCheck() {
     loop_.ScheduleAfter(kShutdownCheckInterval, [this](monotonic_time now) {
-      if (port_shutdown(*stop_, callers_).Advance(now)) return StopLoop();
+      if (port_shutdown(*stop_, callers_).Advance(now)) return AwaitLastTurn();
       ScheduleShutdownCheck();
     });
   }
 
+  // A loop that was held up may come here before it has read the last answers
+  // of upstreams and before the deadlines of its requests have taken effect.
+  // The delay is one turn of the loop, in which it reads what has arrived.
+  void AwaitLastTurn() {
+    loop_.ScheduleAfter(kLastTurnDelay, [this](monotonic_time) {
+      service_.FinishAll();
+      StopLoop();
+    });
+  }
+
   void StopLoop() {
     log_line line("stopped");
     line.With("requests", static_cast<int64_t>(service_.ActiveCount()))
@@ -314,6 +332,7 @@
   store_object_applier applier_;
   store_mirror mirror_;
   instance_registry registry_;
+  stall_monitor stalls_{kReachabilityCheckInterval, loop_context::Now()};
   bool diverting_ = false;
   std::optional<shutdown_plan> stop_;  ///< Empty until the stop begins.
 };
