--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -15,6 +15,7 @@
 
 // Interval at which the counts of recent requests are halved.
 constexpr std::chrono::seconds kRequestCountHalfLife{2};
+
 struct outcome_text {
   const char* outcome;
   const char* cause;
