--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -13,9 +13,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-// Interval at which the counts of recent requests are halved.
-constexpr std::chrono::seconds kRequestCountHalfLife{2};
-
 struct outcome_text {
   const char* outcome;
   const char* cause;
@@ -311,7 +308,7 @@
     return Refuse(from, {request->id, target->name, request->keep_alive, head},
                   {refusal::kUnread, std::nullopt});
   }
-  CountRequest(target->name, loop_context::Now());
+  demand_.Count(target->name, loop_context::Now());
   request_run::context context;
   context.configuration = routes_->Configuration();
   context.matched_route = target;
@@ -452,50 +449,9 @@
   durations_.Add(ended.Route().name, ended.Age(), loop_context::Now());
 }
 
-void entry_service::CountRequest(const std::string& route, monotonic_time now) {
-  if (now - last_halving_ > kRequestCountHalfLife) {
-    last_halving_ = now;
-    for (auto& each : recent_requests_) each.second /= 2;
-  }
-  recent_requests_[route] += 1;
-}
-
-bool entry_service::CanServe(const route& route, monotonic_time now) const {
-  const auto reachable = [&](const std::string& service) {
-    return directory_.HasReachable(service, now);
-  };
-  return std::visit(
-      overloaded{
-          [&](const single_target& target) {
-            return reachable(target.service);
-          },
-          [&](const weighted_target& target) {
-            return std::any_of(
-                target.services.begin(), target.services.end(),
-                [&](const auto& each) { return reachable(each.service); });
-          },
-          [&](const fanout_target& target) {
-            const auto reached = std::count_if(target.shards.begin(),
-                                               target.shards.end(), reachable);
-            return static_cast<double>(reached) >=
-                   target.minimum_coverage *
-                       static_cast<double>(target.shards.size());
-          },
-      },
-      route.target);
-}
-
 bool entry_service::MostRequestsUnservable(monotonic_time now) const {
-  if (!routes_.has_value()) return false;
-  double all = 0;
-  double lost = 0;
-  for (const route& each : routes_->Configuration()->routes) {
-    const auto found = recent_requests_.find(each.name);
-    if (found == recent_requests_.end()) continue;
-    all += found->second;
-    if (!CanServe(each, now)) lost += found->second;
-  }
-  return all > 0 && lost > all / 2;
+  return routes_.has_value() &&
+         demand_.IsMostlyUnservable(*routes_->Configuration(), directory_, now);
 }
 
 std::int64_t entry_service::StateAge() const {
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -15,6 +15,7 @@
 #include "app/owed_answer.h"
 #include "app/structured_log.h"
 #include "coordination/request_run.h"
+#include "coordination/route_demand.h"
 #include "coordination/route_durations.h"
 #include "coordination/route_table.h"
 #include "coordination/shutdown_plan.h"
@@ -100,10 +101,6 @@
   /// Returns the age of the local copy of the store in milliseconds, or -1 if
   /// it is unknown.
   std::int64_t StateAge() const;
-  /// Adds one to the recent requests of `route`.
-  void CountRequest(const std::string& route, monotonic_time now);
-  /// Returns whether enough upstreams of `route` are reachable.
-  bool CanServe(const route& route, monotonic_time now) const;
 
   loop_context& loop_;
   const entry_wire_format& wire_;
@@ -114,9 +111,7 @@
   metrics_registry& metrics_;
   std::optional<route_table> routes_;
   std::set<std::shared_ptr<active_request>> active_;
-  /// Recent requests by route name; all counts are halved periodically.
-  std::map<std::string, double> recent_requests_;
-  monotonic_time last_halving_;
+  route_demand demand_;
   std::function<std::chrono::milliseconds()> state_age_;
   std::optional<shutdown_plan> stop_;  ///< Empty until the stop begins.
   route_durations durations_;
