Judge a slow reader by what it has acknowledged

What callers saw: an answer that ended in its middle although they were reading it, if they took less within the idle timeout than the kernel waits for before it reports room.

Cause: progress was what the kernel accepted. It reports room only when a third of its buffer is free, 1.3 MB here.

Now the kernel's queue counts as well, so acknowledged bytes are progress. It is asked only while an answer does not fit into the kernel.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -69,7 +69,7 @@
   answer_unwritten_ = true;
   const std::size_t size = bytes.size();
   socket_->Write(std::move(bytes));
-  pending_at_timeout_start_ = socket_->PendingBytes();
+  undelivered_at_timeout_start_ = socket_->UndeliveredBytes();
   if (answer_unwritten_) HoldBytes(size);
 }
 
@@ -219,7 +219,7 @@
   on_unwritten_.clear();
   HoldBytes(0);
   if (request_in_progress_ || closed_) return;
-  const bool was_pending = std::exchange(pending_at_timeout_start_, 0) > 0;
+  const bool was_pending = std::exchange(undelivered_at_timeout_start_, 0) > 0;
   if (was_pending) ArmTimeout(owner_.Limits().idle_timeout);
   if (!close_after_response_) return TakeRequests();
   socket_->EndWriting();
@@ -244,10 +244,10 @@
   timeout_.reset();
   if (socket_->HasPendingWrite()) {
     // A caller that reads its answer slowly is still there.
-    const std::size_t pending = socket_->PendingBytes();
-    if (pending >= pending_at_timeout_start_)
+    const std::size_t pending = socket_->UndeliveredBytes();
+    if (pending >= undelivered_at_timeout_start_)
       return Close(connection_end::kTimeout);
-    pending_at_timeout_start_ = pending;
+    undelivered_at_timeout_start_ = pending;
     return ArmTimeout(owner_.Limits().idle_timeout);
   }
   // The loop may have been held up while the bytes arrived that end the wait.
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -143,8 +143,8 @@
   std::optional<timer_queue::id> timeout_;
   std::size_t dropped_bytes_ = 0;
   std::size_t held_bytes_ = 0;  ///< Size of the answer that is not written.
-  /// Unwritten bytes when the timeout was started.
-  std::size_t pending_at_timeout_start_ = 0;
+  /// Undelivered bytes when the timeout was started.
+  std::size_t undelivered_at_timeout_start_ = 0;
   bool taking_requests_ = false;  ///< TakeRequests is running.
   bool needs_more_bytes_ = true;  ///< No whole request has been received.
   bool turn_scheduled_ = false;
--- a/src/transport/stream_socket.cc
+++ b/src/transport/stream_socket.cc
@@ -1,7 +1,9 @@
 #include "transport/stream_socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -93,6 +95,15 @@
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+// The kernel reports room only once a good part of its buffer is free, so its
+// queue shows earlier that the peer reads.
+std::size_t stream_socket::UndeliveredBytes() {
+  if (unwritten_.empty()) return 0;
+  int queued = 0;
+  if (ioctl(socket_.native_handle(), SIOCOUTQ, &queued) != 0) queued = 0;
+  return unwritten_.size() + static_cast<std::size_t>(queued);
+}
+
 void stream_socket::Close() {
   if (closed_) return;
   closed_ = true;
--- a/src/transport/stream_socket.h
+++ b/src/transport/stream_socket.h
@@ -49,7 +49,9 @@
   /// Returns true while the kernel has not accepted all bytes, also after a
   /// write has failed.
   bool HasPendingWrite() const { return !unwritten_.empty(); }
-  std::size_t PendingBytes() const { return unwritten_.size(); }
+  /// Returns how many bytes the peer has not acknowledged, or 0 if none wait
+  /// for room in the kernel.
+  std::size_t UndeliveredBytes();
   /// Returns when the kernel last accepted bytes, or was first offered those
   /// that are pending. Valid while bytes are pending.
   monotonic_time LastWrite() const { return last_write_; }
--- a/tests/unit/caller_connection_test.cc
+++ b/tests/unit/caller_connection_test.cc
@@ -309,6 +309,30 @@
   CHECK(received == kAnswerBytes);
 }
 
+// Guards against closing on a caller that takes less than the kernel waits for
+// before it reports room for more.
+TEST_CASE("an answer is written to a caller that reads a little at a time",
+          "[connection]") {
+  constexpr std::size_t kAnswerBytes = 16UL * 1024 * 1024;
+  constexpr std::size_t kPartBytes = 64UL * 1024;
+  port_process port;
+  port.service.limits.idle_timeout = milliseconds(150);
+  port.service.answer = [](const scripted_service::connection& from,
+                           const caller_message&) {
+    from->Respond(std::string(kAnswerBytes, 'x'), false);
+  };
+  port.Run();
+  caller slow(port, 16 * 1024);
+  slow.Send("GET /a HTTP/1.1\r\n\r\n");
+  std::size_t received = 0;
+  for (int part = 0; part < 20; ++part) {
+    std::this_thread::sleep_for(milliseconds(20));
+    received += slow.Receive(kPartBytes).size();
+  }
+  received += slow.Receive(kAnswerBytes - received).size();
+  CHECK(received == kAnswerBytes);
+}
+
 TEST_CASE("an answer reaches a caller that stops reading for a while",
           "[connection]") {
   constexpr std::size_t kAnswerBytes = 16UL * 1024 * 1024;
