Let serve go on at SIGHUP and when the reader of its log is gone

Evidence: 21-hang-up.scenario failed before (one caller cut off) and passes; 20-log-without-reader.scenario guards the other and passes.

--- a/src/app/serve_command.cc
+++ b/src/app/serve_command.cc
@@ -25,6 +25,12 @@
   return signals;
 }
 
+// Neither the loss of the log's reader nor a hang-up ends the instance.
+void IgnoreOtherSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);
+}
+
 void WaitForShutdownSignal(const sigset_t& signals) {
   int received = 0;
   sigwait(&signals, &received);
@@ -51,6 +57,7 @@
     PrintFaults(faults, false);
     return exit_code::kBadInput;
   }
+  IgnoreOtherSignals();
   const sigset_t signals = BlockShutdownSignals();
   server instance(settings);
   const std::string failed = instance.Start();
--- a/tests/scenarios/runner/steps.py
+++ b/tests/scenarios/runner/steps.py
@@ -68,6 +68,10 @@
         for name in self.targets(words or list(self.system.frozen)):
             self.system.signal(name, signal.SIGCONT)
 
+    def hang_up(self, words, _):
+        for name in self.targets(words):
+            self.system.signal(name, signal.SIGHUP)
+
     def stop(self, words, _):
         for name in self.targets(words):
             self.system.signal(name, signal.SIGTERM)
