--- a/tests/unit/closed_log_reader_test.cc
+++ b/tests/unit/closed_log_reader_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <string>
 #include <thread>
@@ -28,9 +29,9 @@
 class entry_process {
  public:
   entry_process() {
-    char name[] = "/tmp/papayaglade-entry-XXXXXX";
-    close(mkstemp(name));
-    settings_ = name;
+    settings_ =
+        std::filesystem::temp_directory_path() / "papayaglade-entry-XXXXXX";
+    close(mkstemp(settings_.data()));
     readiness_ = FindFreeEndpoint();
     std::ofstream(settings_)
         << R"({"name":"a","data_centre":"d","region":"r","seeds":[],"callers":")"
