Ask no upstream again whose drain time is over

Cause: EraseDrained forgets an upstream at the end of its drain time. While the upstream is cold, its warm-up time changes with each report, so the next change of its entry, still leaving, found nothing known and added it with a new drain time. The trace of the case shows upstream_dropped, 0.6 s later upstream_changed state=draining, then requests.

Change: an upstream that is unknown and already leaving is not added. The same holds where its entry lapses and is back, and for a process that starts: since when the upstream leaves is unknown there, so it cannot be asked in time. An upstream that reports ready again is added.

Evidence: 'changes of its entry bring no drained upstream back into use' and 'an upstream that leaves before it is known is not asked' failed before (136 assertions) and pass. serve (upstream_control) keeps what it knows of a process until another one is named, so it has no such path.

--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -62,6 +62,9 @@
       !IsSameProcess(found->second->record, record)) {
     Erase(record.id);
   }
+  // How long it has been leaving is unknown. It may be an upstream whose drain
+  // time is over.
+  if (record.leaving && upstreams_.count(record.id) == 0) return;
   upstream_pointer& known = upstreams_[record.id];
   if (known == nullptr) {
     known = std::make_shared<known_upstream>();
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -55,7 +55,8 @@
                      const warmup_limits& warmup);
 
   /// Adds or updates an upstream. A record of another process under the same id
-  /// replaces what was learnt of the old process.
+  /// replaces what was learnt of the old process. An upstream that is unknown
+  /// and already leaving is not added.
   void Update(const upstream_record& record, monotonic_time now);
   /// Starts draining an upstream that the store no longer lists.
   void Remove(const std::string& id, monotonic_time now);
--- a/tests/unit/upstream_directory_test.cc
+++ b/tests/unit/upstream_directory_test.cc
@@ -197,6 +197,54 @@
   CHECK(directory.Size() == 1);
 }
 
+// Guards against requests to an upstream whose drain time is over: its entry
+// still changes while the upstream is cold, and each change must not start the
+// drain time anew.
+TEST_CASE("changes of its entry bring no drained upstream back into use",
+          "[directory]") {
+  constexpr seconds kServesOn{10};
+  constexpr milliseconds kStep{100};
+  constexpr milliseconds kReportInterval{1200};
+  upstream_directory directory = MakeDirectory();
+  upstream_record leaving = MakeRecord("a", "kigali");
+  leaving.leaving = true;
+  leaving.warmup_remaining = kServesOn;
+  for (milliseconds age{0}; age < kServesOn; age += kStep) {
+    const monotonic_time now = kStart + age;
+    if (age % kReportInterval == milliseconds(0)) {
+      leaving.warmup_remaining = kServesOn - age;
+      directory.Update(leaving, now);
+    }
+    directory.EraseDrained(now);
+    CAPTURE(age.count());
+    const bool drained = age >= directory.DrainTime();
+    CHECK(ChosenId(directory, now, {"b"}) == (drained ? "" : "a"));
+  }
+  SECTION("it is used again once it reports that it is ready") {
+    directory.Update(MakeRecord("a", "kigali"), kStart + kServesOn);
+    CHECK(ChosenId(directory, kStart + kServesOn) == "a");
+  }
+  SECTION("its entry lapses and is back, still leaving") {
+    directory.Remove("a", kStart + kServesOn);
+    directory.Update(leaving, kStart + kServesOn + seconds(1));
+    CHECK(ChosenId(directory, kStart + kServesOn + seconds(1), {"b"}).empty());
+  }
+}
+
+// Guards against requests to an upstream that has been leaving for longer than
+// its drain time when this instance first learns of it, as after a restart.
+TEST_CASE("an upstream that leaves before it is known is not asked",
+          "[directory]") {
+  upstream_directory directory = MakeDirectory();
+  upstream_record leaving = MakeRecord("c", "kigali");
+  leaving.leaving = true;
+  directory.Update(leaving, kStart);
+  CHECK(ChosenId(directory, kStart, {"a", "b"}).empty());
+  leaving.leaving = false;
+  directory.Update(leaving, kStart);
+  CHECK(ChosenId(directory, kStart, {"a", "b"}) == "c");
+}
+
 TEST_CASE("an upstream that is listed again in time is used as before",
           "[directory]") {
   upstream_directory directory = MakeDirectory();
