Repeat each watch within the bound on the changes behind it

Cause: the watches on configuration and upstreams waited 12 s and timed out after 12.7 s. The short watch on closed data centres was to detect for them that the store does not answer. But each watch has a connection of its own, and one of them can be silent while the others work. TCP keep-alive does not help, since the store's end lives.

Change: watch_wait derives the wait of each watch from the bound on the changes behind it, so that a silent one is repeated in time: 1.8 s for bounds of 3 s, 3.8 s for 5 s. The bounds on configurations and closed data centres come from the settings (new: configuration_ms and data_centre_out_ms, with defaults). Watches on upstreams and on closed data centres had, or could have had, the same fault and are bound alike.

--- a/scripts/check_help.sh
+++ b/scripts/check_help.sh
@@ -12,7 +12,7 @@
 for key in $(grep -oE '(String|Integer|Number|Bool)\(\s*"[a-z_]+"' src/protocol/configuration_codec.cc | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u); do
   require_page "service-files/*$key.md"
 done
-for key in $(grep -oE '(RequiredString|OptionalString|OptionalInteger|OptionalNumber|Strings)\(\s*"[a-z_]+"|ReadEndpoint\(reader, "[a-z_]+"' src/protocol/entry_settings_codec.cc | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u); do
+for key in $(grep -oE '(RequiredString|OptionalString|OptionalInteger|OptionalNumber|Strings|ReadTimeout)\(\s*"[a-z_]+"|Read(Endpoint|Timeout)\(reader, "[a-z_]+"' src/protocol/entry_settings_codec.cc | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u); do
   require_page "entry-settings/*$key.md"
 done
 for command in $(grep -oE '^ *\{"[a-z-]+"' src/app/main.cc | grep -oE '[a-z-]+'); do
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/watch_wait.h"
 #include "protocol/entry_settings_codec.h"
 #include "protocol/mirror_codec.h"
 
@@ -12,15 +13,9 @@
 
 using std::chrono::milliseconds;
 
-// The watch on closed data centres has the shortest timeout of the three, so it
-// also detects for the other two whether the store still answers.
+// While the store does not answer, only the feed of this kind calls it.
 constexpr std::size_t kLivenessKind = 2;
 static_assert(kMirroredKinds[kLivenessKind] == stored_kind::kClosedDataCentres);
-constexpr milliseconds kLongWatchTimeout{12000};
-constexpr milliseconds kShortWatchTimeout{2500};
-// Followers depend on this watch and have to learn in time that it no longer
-// works.
-constexpr milliseconds kSharedWatchTimeout{1000};
 constexpr milliseconds kReportInterval{400};
 // Interval until all kinds of objects have been received once.
 constexpr milliseconds kStartupInterval{100};
@@ -37,11 +32,6 @@
   return static_cast<std::size_t>(found - kMirroredKinds.begin());
 }
 
-milliseconds WatchTimeoutOf(stored_kind kind, bool sharing) {
-  if (kind != kMirroredKinds[kLivenessKind]) return kLongWatchTimeout;
-  return sharing ? kSharedWatchTimeout : kShortWatchTimeout;
-}
-
 const char* SourceStateName(source_state state) {
   switch (state) {
     case source_state::kFollowing:
@@ -75,18 +65,19 @@
       selector_({settings.name, settings.data_centre, settings.control,
                  settings.cores},
                 sharing),
-      kinds_{{{object_mirror(kMirroredKinds[0]),
-               store_feed(loop, format, log, settings.store, kMirroredKinds[0],
-                          WatchTimeoutOf(kMirroredKinds[0], sharing),
-                          HandlersOf(0))},
-              {object_mirror(kMirroredKinds[1]),
-               store_feed(loop, format, log, settings.store, kMirroredKinds[1],
-                          WatchTimeoutOf(kMirroredKinds[1], sharing),
-                          HandlersOf(1))},
-              {object_mirror(kMirroredKinds[2]),
-               store_feed(loop, format, log, settings.store, kMirroredKinds[2],
-                          WatchTimeoutOf(kMirroredKinds[2], sharing),
-                          HandlersOf(2))}}} {
+      kinds_{
+          {{object_mirror(kMirroredKinds[0]),
+            store_feed(loop, format, log, settings.store, kMirroredKinds[0],
+                       WatchWait(kMirroredKinds[0], settings.delays, sharing),
+                       HandlersOf(0))},
+           {object_mirror(kMirroredKinds[1]),
+            store_feed(loop, format, log, settings.store, kMirroredKinds[1],
+                       WatchWait(kMirroredKinds[1], settings.delays, sharing),
+                       HandlersOf(1))},
+           {object_mirror(kMirroredKinds[2]),
+            store_feed(loop, format, log, settings.store, kMirroredKinds[2],
+                       WatchWait(kMirroredKinds[2], settings.delays, sharing),
+                       HandlersOf(2))}}} {
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
     if (i != kLivenessKind) kinds_[i].feed.SetResumeRequired();
   }
--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr milliseconds kListTimeout{2000};
-constexpr milliseconds kWatchTimeoutMargin{700};
 // Used after a failed call. An outage may leave calls without an answer for
 // good, so each call is short and the return of the store is noticed soon.
 constexpr milliseconds kWatchWaitAfterFailure{50};
--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -12,6 +12,9 @@
 /// answer, and how soon it calls again.
 class feed_plan {
  public:
+  /// Time beyond the wait of a watch after which it is given up.
+  static constexpr std::chrono::milliseconds kWatchTimeoutMargin{700};
+
   struct call {
     /// True for a list call, false for a watch.
     bool is_list = true;
--- a/src/protocol/entry_settings_codec.cc
+++ b/src/protocol/entry_settings_codec.cc
@@ -46,10 +46,22 @@
   return result;
 }
 
-shutdown_timeouts ReadBounds(json_reader reader) {
-  shutdown_timeouts result;
-  result.drain_timeout = std::chrono::milliseconds(reader.OptionalInteger(
-      "drain_ms", result.drain_timeout.count(), 1, kMaxTimeoutMs));
+std::chrono::milliseconds ReadTimeout(json_reader& reader,
+                                      const std::string& key,
+                                      std::chrono::milliseconds otherwise) {
+  return std::chrono::milliseconds(
+      reader.OptionalInteger(key, otherwise.count(), 1, kMaxTimeoutMs));
+}
+
+void ReadBounds(json_reader reader, entry_settings& settings) {
+  shutdown_timeouts& result = settings.bounds;
+  change_delays& delays = settings.delays;
+  result.drain_timeout = ReadTimeout(reader, "drain_ms", result.drain_timeout);
+  delays.leaving_upstream = result.drain_timeout;
+  delays.configuration =
+      ReadTimeout(reader, "configuration_ms", delays.configuration);
+  delays.closed_data_centre =
+      ReadTimeout(reader, "data_centre_out_ms", delays.closed_data_centre);
   constexpr double kMaxShutdownS = 600;
   const double seconds =
       reader.OptionalNumber("shutdown_s", 6, 1, kMaxShutdownS);
@@ -57,7 +69,6 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(
           std::chrono::duration<double>(seconds));
   reader.RejectUnknownMembers();
-  return result;
 }
 
 entry_settings ReadSettings(json_reader& reader) {
@@ -76,7 +87,7 @@
   result.cores = reader.OptionalNumber("cores", 0, 0, kMaxCores);
   result.repeats = ReadRepeats(reader.Object("repeats"));
   result.warmup = ReadWarmup(reader.Object("warmup"));
-  result.bounds = ReadBounds(reader.Object("bounds"));
+  ReadBounds(reader.Object("bounds"), result);
   reader.RejectUnknownMembers();
   return result;
 }
--- a/src/state/entry_settings.h
+++ b/src/state/entry_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "state/change_delays.h"
 #include "state/identity.h"
 
 namespace papayaglade {
@@ -49,6 +50,7 @@
   repeat_limits repeats;
   warmup_limits warmup;
   shutdown_timeouts bounds;
+  change_delays delays;
 };
 
 }  // namespace papayaglade
--- a/tests/unit/entry_settings_codec_test.cc
+++ b/tests/unit/entry_settings_codec_test.cc
@@ -14,7 +14,8 @@
   "descriptors": 4100,
   "repeats": {"ratio": 0.2, "extra": 54, "window_s": 10},
   "warmup": {"overshoot": 1.5, "slack": 5},
-  "bounds": {"drain_ms": 3000, "shutdown_s": 6}
+  "bounds": {"drain_ms": 3100, "shutdown_s": 6, "configuration_ms": 2500,
+             "data_centre_out_ms": 4500}
 })";
 
 }  // namespace
@@ -27,6 +28,9 @@
   CHECK(settings.store == endpoint{"10.200.1.7", 8102});
   CHECK(settings.repeats.extra == 54);
   CHECK(settings.bounds.shutdown_timeout == std::chrono::seconds(6));
+  CHECK(settings.delays.configuration == std::chrono::milliseconds(2500));
+  CHECK(settings.delays.closed_data_centre == std::chrono::milliseconds(4500));
+  CHECK(settings.delays.leaving_upstream == std::chrono::milliseconds(3100));
 }
 
 TEST_CASE("every fault in the settings is reported with a remedy",
--- a/tests/unit/store_mirror_test.cc
+++ b/tests/unit/store_mirror_test.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "platform/platform_store_format.h"
@@ -17,6 +19,7 @@
 namespace {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
 using tcp = boost::asio::ip::tcp;
 
 // The store mirror of one instance, and the upstreams and members it reported.
@@ -37,6 +40,9 @@
         store_mirror::handlers{
             [this](stored_kind kind, const auto& objects) {
               if (kind == stored_kind::kUpstreams) UpdateUpstreams(objects);
+              for (const stored_object& each : objects) {
+                if (!each.deleted) received.insert({kind, each.name});
+              }
             },
             [this](const auto& reported) { members = reported; }});
     REQUIRE(mirror->Start().empty());
@@ -52,6 +58,7 @@
   endpoint control = FindFreeEndpoint();
   std::unique_ptr<store_mirror> mirror;
   std::set<std::string> upstreams;
+  std::set<std::pair<stored_kind, std::string>> received;
   std::vector<fleet_member> members;
 
  private:
@@ -284,6 +291,42 @@
   CHECK(RunUntil(loop, [&] { return instance.upstreams.count("i-1") == 1; }));
 }
 
+// Guards against an instance that keeps to an old configuration, or asks an
+// upstream that has left, because the answer to one of its watches was lost
+// while the other watches were answered.
+TEST_CASE("a lost answer to one watch delays its change no longer than allowed",
+          "[mirror]") {
+  const auto [kind, name, allowed] =
+      GENERATE(std::tuple(stored_kind::kConfiguration, "config",
+                          change_delays().configuration),
+               std::tuple(stored_kind::kUpstreams, "servers",
+                          change_delays().leaving_upstream),
+               std::tuple(stored_kind::kClosedDataCentres, "evacuations",
+                          change_delays().closed_data_centre));
+  const bool sharing = GENERATE(false, true);
+  // So that the watch is not at its start, and the machine may be busy.
+  constexpr std::chrono::seconds kWatchAge{1};
+  loop_context loop;
+  store_standin store(loop);
+  const mirrored_instance instance(loop, store.Address(), "entry-1", sharing);
+  if (sharing) instance.mirror->SetMembers({instance.Member("entry-1")});
+  REQUIRE(RunUntil(loop, [&, watched = name] {
+    return instance.mirror->Complete() && store.WaitingWatchCount(watched) == 1;
+  }));
+  const monotonic_time watched_at = loop_context::Now();
+  REQUIRE(RunUntil(
+      loop, [&] { return loop_context::Now() - watched_at > kWatchAge; }));
+  store.LoseNextAnswer(name);
+  store.Put(name, "changed", json::object());
+  const monotonic_time changed_at = loop_context::Now();
+  const std::pair<stored_kind, std::string> change(kind, "changed");
+  REQUIRE(RunUntil(loop, [&] { return instance.received.count(change) == 1; }));
+  CAPTURE(name, sharing);
+  CHECK(store.LostAnswer());
+  CHECK((loop_context::Now() - changed_at) / milliseconds(1) <=
+        allowed / milliseconds(1));
+}
+
 TEST_CASE("malformed bytes close only their own link", "[mirror]") {
   loop_context loop;
   store_standin store(loop);
--- a/tests/unit/store_standin.cc
+++ b/tests/unit/store_standin.cc
@@ -186,6 +186,11 @@
     }
   }
   if (events.empty() && !answer_if_empty) return false;
+  if (!events.empty() && watch.kind == losing_kind_) {
+    losing_kind_.clear();
+    lost_answer_ = true;
+    return true;
+  }
   const json body = {{"events", events}, {"at", revision_}};
   watch.connection->Respond(Answer(200, Format(body)), false);
   return true;
--- a/tests/unit/store_standin.h
+++ b/tests/unit/store_standin.h
@@ -44,6 +44,10 @@
   void SetLaterPages(later_pages pages) { later_pages_ = pages; }
   /// Makes every watch return at once, with no change.
   void SetEarlyAnswers(bool early) { early_answers_ = early; }
+  /// Loses the next answer with changes to a watch on `kind`: its connection
+  /// stays open, but returns nothing further.
+  void LoseNextAnswer(const std::string& kind) { losing_kind_ = kind; }
+  bool LostAnswer() const { return lost_answer_; }
   /// Refuses the waiting watches on `kind`.
   void RefuseWaitingWatches(const std::string& kind);
 
@@ -86,6 +90,8 @@
   bool down_ = false;
   later_pages later_pages_ = later_pages::kNone;
   bool early_answers_ = false;
+  std::string losing_kind_;
+  bool lost_answer_ = false;
   /// The content of PutText, keyed by the text that stands for it.
   std::map<std::string, std::string> texts_;
   std::int64_t revision_ = 100;
