Bound the memory of the requests that callers send

The platform kills such a process, with all the requests that it owes (FAULT).

Cause: each connection holds up to max_body_bytes of a body, and 256 KB of requests behind one in progress, and nothing bounds the sum. 20 heads of 12 KB behind a slow request on 1,500 connections: 370 MB; bodies of 250 KB before a slow upstream on a machine of 160 MB: 241 MB.

A body that finds no room is refused at once with 503 no_memory, truthfully as not run, its connection is closed in order; one that can never find room gets 413. Bytes behind a request in progress are read while there is room. Requests without a body, and small ones, go on. Buffers of idle connections are given back.

--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -336,6 +336,17 @@
          {too_large ? refusal::kTooLarge : refusal::kMalformed, std::nullopt});
 }
 
+void entry_service::OnNoMemory(const std::shared_ptr<caller_connection>& from,
+                               const caller_message& message) {
+  auto decoded = wire_.DecodeRequest(message);
+  if (const auto* refused = std::get_if<refused_answer>(&decoded)) {
+    return Refuse(from, {}, *refused);
+  }
+  const auto& request = std::get<entry_request>(decoded);
+  Refuse(from, {request.id, "", false, false},
+         {refusal::kNoMemory, std::nullopt});
+}
+
 void entry_service::Refuse(const std::shared_ptr<caller_connection>& to,
                            const refused_request& request,
                            refused_answer answer) {
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -65,6 +65,8 @@
                  caller_message message) override;
   void OnMalformed(const std::shared_ptr<caller_connection>& from,
                    bool too_large) override;
+  void OnNoMemory(const std::shared_ptr<caller_connection>& from,
+                  const caller_message& message) override;
 
  private:
   class active_request;
--- a/src/protocol/entry_settings_codec.cc
+++ b/src/protocol/entry_settings_codec.cc
@@ -13,6 +13,10 @@
 constexpr unsigned kMaxPort = 65'535;
 constexpr std::int64_t kMinDescriptors = 64;
 constexpr std::int64_t kMaxDescriptors = 1'000'000;
+constexpr std::size_t kBytesInMegabyte = 1000 * 1000;
+constexpr std::int64_t kDefaultMemoryMb = 256;
+constexpr std::int64_t kMinMemoryMb = 64;
+constexpr std::int64_t kMaxMemoryMb = 1'000'000;
 constexpr std::int64_t kMaxTimeoutMs = 600'000;
 constexpr std::int64_t kMaxWindowS = 600;
 constexpr double kMaxRatio = 10;
@@ -85,6 +89,10 @@
   result.descriptors = static_cast<std::size_t>(reader.OptionalInteger(
       "descriptors", 1024, kMinDescriptors, kMaxDescriptors));
   result.cores = reader.OptionalNumber("cores", 0, 0, kMaxCores);
+  result.memory_bytes =
+      kBytesInMegabyte *
+      static_cast<std::size_t>(reader.OptionalInteger(
+          "memory_mb", kDefaultMemoryMb, kMinMemoryMb, kMaxMemoryMb));
   result.repeats = ReadRepeats(reader.Object("repeats"));
   result.warmup = ReadWarmup(reader.Object("warmup"));
   ReadBounds(reader.Object("bounds"), result);
--- a/src/state/entry_messages.cc
+++ b/src/state/entry_messages.cc
@@ -42,6 +42,8 @@
       return "expired";
     case refusal::kUnread:
       return "unread";
+    case refusal::kNoMemory:
+      return "no_memory";
     case refusal::kStopping:
       return "stopping";
     case refusal::kStopped:
--- a/src/state/entry_messages.h
+++ b/src/state/entry_messages.h
@@ -78,6 +78,7 @@
   kTimedOut,         ///< May have run; the deadline has passed.
   kExpired,          ///< The deadline passed before it was sent.
   kUnread,           ///< Not run; too many answers wait to be read.
+  kNoMemory,         ///< Not run; there is no memory for its body.
   kStopping,         ///< Not run; this instance stops before it could end.
   kStopped,          ///< May have run; this instance stops too soon for it.
 };
--- a/src/state/entry_settings.h
+++ b/src/state/entry_settings.h
@@ -47,6 +47,8 @@
   std::size_t descriptors = 1024;  ///< Limit of open file descriptors.
   /// CPU cores available to this instance; may be fractional. 0 if unknown.
   double cores = 0;
+  /// Memory that the process may use, in bytes.
+  std::size_t memory_bytes = 256UL * 1000 * 1000;
   repeat_limits repeats;
   warmup_limits warmup;
   shutdown_timeouts bounds;
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -24,6 +24,10 @@
 // the caller closes the connection, within these limits.
 constexpr std::size_t kMaxDroppedBytes = 16UL * 1024 * 1024;
 constexpr std::chrono::milliseconds kCloseDelay{1000};
+// A body without a known length is given memory in steps.
+constexpr std::size_t kBodyStep = 16UL * 1024;
+// Idle connections keep no larger buffer.
+constexpr std::size_t kMaxIdleBufferBytes = 4096;
 
 }  // namespace
 
@@ -32,7 +36,9 @@
                                      owner& owner)
     : loop_(loop),
       socket_(std::make_shared<stream_socket>(loop, std::move(socket))),
-      owner_(owner) {}
+      owner_(owner),
+      body_memory_(owner.RequestMemory()),
+      pipelined_memory_(owner.RequestMemory()) {}
 
 void caller_connection::Start() {
   const std::weak_ptr<caller_connection> weak = weak_from_this();
@@ -55,6 +61,7 @@
 void caller_connection::Respond(std::string bytes, bool close) {
   if (closed_) return;
   request_in_progress_ = false;
+  body_memory_.Resize(0);
   on_disconnect_ = nullptr;
   close_after_response_ = close;
   const auto self = shared_from_this();
@@ -63,6 +70,8 @@
   if (close) {
     dropped_bytes_ += received_.size() - consumed_;
     received_.clear();
+    received_.shrink_to_fit();
+    pipelined_memory_.Resize(0);
     consumed_ = 0;
     socket_->StartReading();
   }
@@ -95,6 +104,8 @@
   const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
   if (on_disconnect) on_disconnect();
   HoldBytes(0);
+  body_memory_.Resize(0);
+  pipelined_memory_.Resize(0);
   const auto on_unwritten = std::exchange(on_unwritten_, {});
   for (const auto& each : on_unwritten) each();
   ReportDropped();
@@ -151,9 +162,9 @@
                          rest.size() - used > owner_.Limits().header_bytes;
     if (endless) failed = http::error::header_limit;
     const bool whole = !failed && parser_->is_done();
-    if (whole || (failed && failed != http::error::need_more)) {
-      return Dispatch(failed);
-    }
+    const bool valid = whole || !failed || failed == http::error::need_more;
+    if (valid && !ReserveBody()) return RefuseBody();
+    if (whole || !valid) return Dispatch(failed);
     SendContinueIfExpected();
     if (failed == http::error::need_more) break;
   }
@@ -172,8 +183,33 @@
   owner_.OnRequest(shared_from_this(), parser_->release());
 }
 
+bool caller_connection::ReserveBody() {
+  if (!parser_->is_header_done()) return true;
+  const std::size_t received = parser_->get().body().size();
+  const std::size_t in_steps =
+      (received + kBodyStep - 1) / kBodyStep * kBodyStep;
+  return body_memory_.Resize(
+      static_cast<std::size_t>(parser_->content_length().value_or(in_steps)));
+}
+
+void caller_connection::RefuseBody() {
+  request_in_progress_ = true;
+  // Such a body can never be held, also if the caller tries again.
+  const bool too_large =
+      parser_->content_length().value_or(0) > owner_.RequestMemory().Limit();
+  if (too_large) return owner_.OnMalformed(shared_from_this(), true);
+  const caller_message message = parser_->release();
+  owner_.OnNoMemory(shared_from_this(), message);
+}
+
+// Bytes behind a request are read while there is memory for them. Those of the
+// next request are needed in any case, and the limit of its head bounds them.
 void caller_connection::EndTurn() {
-  if (needs_more_bytes_ || received_.size() <= kMaxPipelinedBytes) {
+  if (received_.empty() && received_.capacity() > kMaxIdleBufferBytes) {
+    received_.shrink_to_fit();
+  }
+  const bool held = pipelined_memory_.Resize(received_.size());
+  if (needs_more_bytes_ || (held && received_.size() <= kMaxPipelinedBytes)) {
     socket_->StartReading();
   } else {
     socket_->PauseReading();
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/memory_budget.h"
 #include "protocol/entry_wire_format.h"
 #include "state/route.h"
 #include "transport/connection_end.h"
@@ -36,6 +37,13 @@
     /// and `close` set.
     virtual void OnMalformed(const std::shared_ptr<caller_connection>& from,
                              bool too_large) = 0;
+    /// Called when there is no memory for the body of a request, of which
+    /// `message` holds the head. The owner answers with Respond and `close`
+    /// set.
+    virtual void OnNoMemory(const std::shared_ptr<caller_connection>& from,
+                            const caller_message& message) = 0;
+    /// Returns the budget for the requests of all connections.
+    virtual memory_budget& RequestMemory() = 0;
     /// Called when the memory that holds an unwritten answer of the connection
     /// changes from `before` bytes to `after`. May close other connections.
     virtual void OnHeldBytes(const caller_connection& of, std::size_t before,
@@ -114,6 +122,12 @@
   /// Parses until one request is taken, or until more bytes are needed.
   void ParseNext();
   void Dispatch(boost::system::error_code failed);
+  /// Reserves memory for the body of the request that is received. Returns
+  /// false if there is none.
+  bool ReserveBody();
+  /// Refuses the request that is received, because there is no memory for its
+  /// body.
+  void RefuseBody();
   /// Goes on with what is left after a turn: waits for more bytes, or takes
   /// more requests in another turn.
   void EndTurn();
@@ -135,6 +149,10 @@
   /// Received bytes, of which the parser has consumed the first `consumed_`.
   std::string received_;
   std::size_t consumed_ = 0;
+  /// Memory of the body that is received or whose request is in progress.
+  memory_budget::reservation body_memory_;
+  /// Memory of the received bytes behind the request in progress.
+  memory_budget::reservation pipelined_memory_;
   std::function<void()> on_disconnect_;
   std::vector<std::function<void()>> on_unwritten_;
   std::function<void(std::size_t bytes)> on_dropped_;
--- a/src/transport/caller_port.cc
+++ b/src/transport/caller_port.cc
@@ -17,12 +17,6 @@
 // A port that cannot accept is not woken by the end of the shortage.
 constexpr std::chrono::milliseconds kAcceptRetryInterval{20};
 
-// Answers that are not written take memory until they are read. Beyond the
-// first limit, no more requests are run. Beyond the second one, which answers
-// of requests in progress may reach, connections are closed.
-constexpr std::size_t kMaxHeldBytesToRun = 64UL * 1024 * 1024;
-constexpr std::size_t kMaxHeldBytes = 96UL * 1024 * 1024;
-
 // Returns true if a caller left before its connection was accepted.
 bool IsAborted(const error_code& failed) {
   return failed == boost::system::errc::connection_aborted ||
@@ -32,10 +26,13 @@
 }  // namespace
 
 caller_port::caller_port(loop_context& loop, service& service,
-                         std::size_t max_connections)
+                         std::size_t max_connections,
+                         const memory_shares& memory)
     : loop_(loop),
       service_(service),
       max_connections_(max_connections),
+      memory_(memory),
+      request_memory_(memory.requests),
       acceptor_(loop.Io()) {}
 
 std::string caller_port::Listen(const endpoint& address) {
@@ -87,16 +84,21 @@
   service_.OnMalformed(from, too_large);
 }
 
+void caller_port::OnNoMemory(const std::shared_ptr<caller_connection>& from,
+                             const caller_message& message) {
+  service_.OnNoMemory(from, message);
+}
+
 void caller_port::OnHeldBytes(const caller_connection& of, std::size_t before,
                               std::size_t after) {
   held_bytes_ = held_bytes_ - before + after;
   if (after <= before) return;
-  while (held_bytes_ > kMaxHeldBytes && CloseLongestUnread(of)) {
+  while (held_bytes_ > memory_.unread_answers && CloseLongestUnread(of)) {
   }
 }
 
 bool caller_port::HasRoomForAnswers() const {
-  return held_bytes_ <= kMaxHeldBytesToRun;
+  return held_bytes_ <= memory_.unread_answers_to_run;
 }
 
 bool caller_port::CloseLongestUnread(const caller_connection& kept) {
--- a/src/transport/caller_port.h
+++ b/src/transport/caller_port.h
@@ -7,12 +7,14 @@
 #include <set>
 #include <string>
 
+#include "coordination/memory_budget.h"
+#include "coordination/memory_shares.h"
 #include "transport/caller_connection.h"
 
 namespace papayaglade {
 
 /// Listens on an HTTP/1.1 port and owns the connections accepted there. Bounds
-/// the memory of answers that callers do not read.
+/// the memory of requests and of answers that callers do not read.
 class caller_port : private caller_connection::owner {
  public:
   /// Interface that answers the requests received on a port.
@@ -24,12 +26,19 @@
                            caller_message message) = 0;
     virtual void OnMalformed(const std::shared_ptr<caller_connection>& from,
                              bool too_large) = 0;
+    /// Called when there is no memory for the body of a request, of which
+    /// `message` holds the head. Answers with Respond and `close` set; unless
+    /// overridden, as if the request were too large.
+    virtual void OnNoMemory(const std::shared_ptr<caller_connection>& from,
+                            const caller_message& /*message*/) {
+      OnMalformed(from, true);
+    }
   };
 
   /// Beyond `max_connections`, idle connections are closed to make room; if
   /// there are none, new connections wait in the backlog.
-  caller_port(loop_context& loop, service& service,
-              std::size_t max_connections);
+  caller_port(loop_context& loop, service& service, std::size_t max_connections,
+              const memory_shares& memory = {});
 
   /// Binds `address` and listens on it. Returns an empty string on success,
   /// otherwise the error.
@@ -49,6 +58,9 @@
                  caller_message message) override;
   void OnMalformed(const std::shared_ptr<caller_connection>& from,
                    bool too_large) override;
+  void OnNoMemory(const std::shared_ptr<caller_connection>& from,
+                  const caller_message& message) override;
+  memory_budget& RequestMemory() override { return request_memory_; }
   void OnHeldBytes(const caller_connection& of, std::size_t before,
                    std::size_t after) override;
   bool HasRoomForAnswers() const override;
@@ -71,6 +83,8 @@
   loop_context& loop_;
   service& service_;
   std::size_t max_connections_;
+  memory_shares memory_;
+  memory_budget request_memory_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::set<std::shared_ptr<caller_connection>> connections_;
   std::size_t held_bytes_ = 0;  ///< Sizes of all answers that are not written.
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -37,6 +37,7 @@
         self.killed = False
         self.frozen = 0
         self.rewriting = False  # its settings file is in mid-write
+        self.more_settings = {}
         self.log_pipe = None
         self.active_faults = 0  # current faults on its connections
         path = os.path.join(soak.folder, f"{name}.json")
@@ -54,7 +55,8 @@
                         store=f"127.0.0.1:{self.store_relay.port}",
                         bounds={"drain_ms":
                                 int(self.soak.drain_timeout_s * 1000),
-                                "shutdown_s": SHUTDOWN_TIMEOUT_S})
+                                "shutdown_s": SHUTDOWN_TIMEOUT_S},
+                        **self.more_settings)
         with open(self.path, "w") as file:
             file.write(self.settings_text())
         for each in self.relays():
--- a/tests/soak/stop_cases.py
+++ b/tests/soak/stop_cases.py
@@ -22,7 +22,13 @@
 START_TIMEOUT_S = 10.0
 CASE_TIMEOUT_S = 25.0
 MACHINE_MEMORY_MB = 260
+SERVICES = ["archive", "other"]
 LARGE_BYTES = 7_000_000
+# As many callers as the descriptors of a small machine bear.
+MANY_CALLERS = 1500
+MACHINE_DESCRIPTORS = 4100
+BODY_BYTES = 250_000
+BODY_PAUSE_S = 2.0
 
 
 class ObedientSearcher(Searcher):
@@ -49,6 +55,7 @@
         self.store_port = free_port()
         self.requests = 0
         self.instance = None
+        self.instance_settings = {}
         self.running = None
 
     @staticmethod
@@ -58,23 +65,28 @@
     async def prepare(self, shutdown_s=SHUTDOWN_TIMEOUT_S):
         store = Store()
         await store.serve(self.store_port)
-        searcher = ObedientSearcher("i-0", "archive", "kigali", free_port(), 0,
-                                    self.ledger, slots=200)
-        await searcher.start()
-        await store.put("servers", searcher.id, searcher.entry())
-        common = {"host": "shop.example", "service": "archive", "priority": 1,
+        for service in SERVICES:
+            searcher = ObedientSearcher(f"i-{service}", service, "kigali",
+                                        free_port(), 0, self.ledger, slots=200)
+            await searcher.start()
+            await store.put("servers", searcher.id, searcher.entry())
+        common = {"host": "shop.example", "priority": 1,
                   "target_latency_ms": 200, "max_attempts": 1,
                   "timeout_ms": 20000}
         await store.put("config", "main", {
             "version": 2, "limits": {"idle_timeout_ms": 15000},
             "routes": [{"name": name, "path_prefix": f"/{name}/",
-                        "type": kind, **common}
-                       for name, kind in (("pull", "idempotent"),
-                                          ("book", "non_idempotent"))],
-            "services": [{"name": "archive", "health_path": "/health",
+                        "type": kind, "service": service, **common}
+                       for name, kind, service in (
+                           ("pull", "idempotent", "archive"),
+                           ("book", "non_idempotent", "archive"),
+                           ("quick", "idempotent", "other"))],
+            "services": [{"name": service, "health_path": "/health",
                           "max_connections": 300, "protocol": "h1",
-                          "tls": False, "warmup_s": 0, "warmup_per_s": 0}]})
+                          "tls": False, "warmup_s": 0, "warmup_per_s": 0}
+                         for service in SERVICES]})
         self.instance = Instance(self.name, "kigali", self)
+        self.instance.more_settings = self.instance_settings
         await self.instance.start_relays(
             [f"127.0.0.1:{self.instance.ports['control']}"])
         self.set_bound(shutdown_s)
@@ -95,6 +107,11 @@
         self.instance.stopping = True
         self.instance.signal(signal.SIGTERM)
 
+    def highest_memory_mb(self):
+        with open(f"/proc/{self.instance.process.pid}/status") as status:
+            return next(int(line.split()[1]) for line in status
+                        if line.startswith("VmHWM")) // 1024
+
     async def connect(self, receive_bytes=None):
         plain = socket.socket()
         if receive_bytes:
@@ -329,12 +346,89 @@
         writer.write(tier.request(Size=LARGE_BYTES))
         await asyncio.sleep(.05)
     await asyncio.sleep(.5)
-    with open(f"/proc/{tier.instance.process.pid}/status") as status:
-        highest_mb = next(int(line.split()[1]) for line in status
-                          if line.startswith("VmHWM")) // 1024
+    highest_mb = tier.highest_memory_mb()
     return highest_mb < MACHINE_MEMORY_MB, f"{highest_mb} MB"
 
 
+async def many_bodies(tier, sent_first, memory_mb=MACHINE_MEMORY_MB):
+    """Many callers send bodies at the same time, all but the first
+    `sent_first` bytes after a pause. Each gets an answer or a refusal, calm
+    callers get their answers, and the process keeps within its memory."""
+    tier.instance_settings = {"descriptors": MACHINE_DESCRIPTORS,
+                              "memory_mb": memory_mb}
+
+    await tier.start()
+    seen = []
+
+    async def send_body():
+        reader, writer = await tier.connect()
+        text = tier.request(method="POST", body=b"b" * BODY_BYTES, Work="3")
+        cut = len(text) - BODY_BYTES + sent_first
+        try:
+            writer.write(text[:cut])
+            await asyncio.sleep(BODY_PAUSE_S)
+            writer.write(text[cut:])
+        except OSError:
+            pass  # The refusal closes the connection.
+        seen.append(await outcome(reader))
+        writer.close()
+
+    async def ask_calmly():
+        reader, writer = await tier.connect()
+        writer.write(tier.request(route="quick", method="POST",
+                                  body=b"b" * 1000))
+        calm.append(await outcome(reader))
+        writer.close()
+
+    callers = [asyncio.create_task(send_body()) for _ in range(MANY_CALLERS)]
+    await asyncio.sleep(.5)
+    calm = []
+    for _ in range(100):
+        await ask_calmly()
+    await asyncio.gather(*callers)
+    highest_mb = tier.highest_memory_mb()
+    kept = (highest_mb < memory_mb and all(isinstance(s, int) for s in seen)
+            and calm.count(200) >= .99 * len(calm))
+    counts = {each: seen.count(each) for each in set(seen)}
+    return kept, f"{highest_mb} MB, bodies {counts}, calm {calm.count(200)}"
+
+
+async def memory_of_pausing_bodies(tier):
+    """1,500 callers pause in the middle of bodies of 250 KB."""
+    return await many_bodies(tier, BODY_BYTES - 10_000)
+
+
+async def memory_of_pipelined_requests(tier):
+    """1,500 callers send 20 large heads each behind a slow request."""
+    tier.instance_settings = {"descriptors": MACHINE_DESCRIPTORS,
+                              "memory_mb": MACHINE_MEMORY_MB}
+    await tier.start()
+
+    async def ask():
+        reader, writer = await tier.connect()
+        writer.write(tier.request(Work="2"))
+        for _ in range(20):
+            writer.write(tier.request(Padding="p" * 12_000))
+        seen = await outcome(reader)
+        writer.close()
+        return seen
+
+    seen = await asyncio.gather(*(ask() for _ in range(MANY_CALLERS)))
+    highest_mb = tier.highest_memory_mb()
+    return (highest_mb < MACHINE_MEMORY_MB and all_answered(seen)[0],
+            f"{highest_mb} MB, {set(seen)}")
+
+
+async def memory_of_whole_bodies(tier):
+    """1,500 callers wait for a slow upstream with bodies of 250 KB."""
+    return await many_bodies(tier, BODY_BYTES)
+
+
+async def memory_of_bodies_on_a_small_machine(tier):
+    """The same on a machine of 160 MB."""
+    return await many_bodies(tier, BODY_BYTES, 160)
+
+
 async def slow_reader_at_the_end(tier):
     """An answer given 4 s after SIGTERM is still read at the end."""
     await tier.start()
@@ -360,7 +454,10 @@
          pipelined_while_stopping, signal_at_start, log_pipe_closed,
          head_refused]
 BULKY_CASES = [reset_destroys_an_answer, too_large_while_sending,
-               reader_pauses, memory_of_slow_readers]
+               reader_pauses, memory_of_slow_readers,
+               memory_of_pausing_bodies, memory_of_whole_bodies,
+               memory_of_pipelined_requests,
+               memory_of_bodies_on_a_small_machine]
 # They fail; KNOWN-RED.txt lists them. They run only if they are named.
 RED_CASES = [slow_reader_at_the_end, refuses_from_the_start, half_closed]
 
--- a/tests/unit/caller_port_test.cc
+++ b/tests/unit/caller_port_test.cc
@@ -47,6 +47,10 @@
                    bool too_large) override {
     from->Respond(too_large ? "[large]" : "[bad]", true);
   }
+  void OnNoMemory(const std::shared_ptr<caller_connection>& from,
+                  const caller_message& message) override {
+    from->Respond("[no memory " + std::string(message.target()) + "]", true);
+  }
 
   std::shared_ptr<caller_connection> waiting;
   bool caller_left = false;
@@ -55,7 +59,8 @@
 /// A port that runs on its own thread, with a blocking client.
 class running_port {
  public:
-  running_port() : port_(loop_, service, 16) {
+  explicit running_port(const memory_shares& memory = {})
+      : port_(loop_, service, 16, memory) {
     // The kernel selects a free port.
     boost::asio::io_context io;
     tcp::acceptor probe(io, tcp::endpoint(tcp::v4(), 0));
@@ -96,6 +101,28 @@
     boost::asio::write(socket, boost::asio::buffer(request));
   }
 
+  /// A connection on which a request has arrived, until its end.
+  class connection {
+   public:
+    connection(const running_port& port, const std::string& request)
+        : socket_(io_) {
+      socket_.connect(
+          {boost::asio::ip::address_v4::loopback(), port.address_.port()});
+      boost::asio::write(socket_, boost::asio::buffer(request));
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    ~connection() {
+      socket_.close();
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+   private:
+    boost::asio::io_context io_;
+    tcp::socket socket_;
+  };
+
   echo_service service;
 
  private:
@@ -126,6 +153,34 @@
         "[POST /a abc][GET /last ]");
 }
 
+// Guards against the end of the process by the memory of bodies that callers
+// send at the same time.
+TEST_CASE("a request is refused while there is no memory for its body",
+          "[port]") {
+  memory_shares memory;
+  memory.requests = 40;
+  running_port port(memory);
+  const std::string body(30, 'b');
+  const auto post = [&](const std::string& target) {
+    return "POST " + target + " HTTP/1.1\r\nContent-Length: 30\r\n\r\n";
+  };
+  CHECK(port.SendAndReceive(
+            {post("/a") + body + post("/b") + body + kLastRequest}) ==
+        "[POST /a " + body + "][POST /b " + body + "][GET /last ]");
+  {
+    const running_port::connection holder(port, post("/wait") + body);
+    CHECK(port.SendAndReceive({post("/c")}) == "[no memory /c]");
+    CHECK(port.SendAndReceive({"POST /d HTTP/1.1\r\nTransfer-Encoding: chunked"
+                               "\r\n\r\n5\r\nabcde\r\n"}) == "[no memory /d]");
+    CHECK(port.SendAndReceive({kLastRequest}) == "[GET /last ]");
+  }
+  CHECK(port.SendAndReceive({post("/e") + body + kLastRequest}) ==
+        "[POST /e " + body + "][GET /last ]");
+  // Such a body has no room at any time.
+  CHECK(port.SendAndReceive(
+            {"POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\n"}) == "[large]");
+}
+
 TEST_CASE("malformed and oversized requests are answered, then closed",
           "[port]") {
   running_port port;
--- a/tests/unit/entry_settings_codec_test.cc
+++ b/tests/unit/entry_settings_codec_test.cc
@@ -11,7 +11,7 @@
   "callers": "10.1.0.9:8104", "readiness": "10.1.0.9:8108",
   "control": "10.1.0.9:8106", "metrics": "10.1.0.9:9464",
   "store": "10.200.1.7:8102", "seeds": ["10.1.0.9:8106"],
-  "descriptors": 4100,
+  "descriptors": 4100, "memory_mb": 260,
   "repeats": {"ratio": 0.2, "extra": 54, "window_s": 10},
   "warmup": {"overshoot": 1.5, "slack": 5},
   "bounds": {"drain_ms": 3100, "shutdown_s": 6, "configuration_ms": 2500,
@@ -27,6 +27,7 @@
   CHECK(settings.callers == endpoint{"10.1.0.9", 8104});
   CHECK(settings.store == endpoint{"10.200.1.7", 8102});
   CHECK(settings.repeats.extra == 54);
+  CHECK(settings.memory_bytes == 260'000'000);
   CHECK(settings.bounds.shutdown_timeout == std::chrono::seconds(6));
   CHECK(settings.delays.configuration == std::chrono::milliseconds(2500));
   CHECK(settings.delays.closed_data_centre == std::chrono::milliseconds(4500));
