--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
