--- a/src/coordination/watch_wait.cc
+++ b/src/coordination/watch_wait.cc
@@ -10,8 +10,8 @@
 
 using std::chrono::milliseconds;
 
-// Two failed calls' delays, the connections and answers of the calls after
-// them, and the pause before a watch that follows another change.
+// Covers the delay after a failed call, the two calls that follow, and the
+// pause before a watch that comes after another change.
 constexpr milliseconds kRepeatTime{500};
 constexpr milliseconds kMinWatchWait{500};
 // Followers depend on this watch and have to learn in time that the store no
--- a/src/protocol/entry_settings_codec.cc
+++ b/src/protocol/entry_settings_codec.cc
@@ -15,7 +15,6 @@
 constexpr std::int64_t kMaxDescriptors = 1'000'000;
 constexpr std::size_t kBytesInMegabyte = 1000 * 1000;
 constexpr std::int64_t kDefaultMemoryMb = 256;
-constexpr std::int64_t kMinMemoryMb = 64;
 constexpr std::int64_t kMaxMemoryMb = 1'000'000;
 constexpr std::int64_t kMaxTimeoutMs = 600'000;
 constexpr std::int64_t kMaxWindowS = 600;
@@ -90,9 +89,8 @@
       "descriptors", 1024, kMinDescriptors, kMaxDescriptors));
   result.cores = reader.OptionalNumber("cores", 0, 0, kMaxCores);
   result.memory_bytes =
-      kBytesInMegabyte *
-      static_cast<std::size_t>(reader.OptionalInteger(
-          "memory_mb", kDefaultMemoryMb, kMinMemoryMb, kMaxMemoryMb));
+      kBytesInMegabyte * static_cast<std::size_t>(reader.OptionalInteger(
+                             "memory_mb", kDefaultMemoryMb, 1, kMaxMemoryMb));
   result.repeats = ReadRepeats(reader.Object("repeats"));
   result.warmup = ReadWarmup(reader.Object("warmup"));
   ReadBounds(reader.Object("bounds"), result);
--- a/tests/unit/entry_settings_codec_test.cc
+++ b/tests/unit/entry_settings_codec_test.cc
@@ -34,6 +34,14 @@
   CHECK(settings.delays.leaving_upstream == std::chrono::milliseconds(3100));
 }
 
+TEST_CASE("a machine with little memory is accepted", "[settings]") {
+  std::string text = kSettings;
+  text.replace(text.find("\"memory_mb\": 260"), 16, "\"memory_mb\": 1");
+  fault_list faults;
+  CHECK(ParseEntrySettings("file", text, faults).memory_bytes == 1'000'000);
+  CHECK(faults.empty());
+}
+
 TEST_CASE("every fault in the settings is reported with a remedy",
           "[settings]") {
   std::string text = kSettings;
