Share the budget of request memory with the connections that reserve it

A connection may outlive its port, as a request in progress holds it at the end of the process; its reservation was then released into a budget that had ended. Found by reading the diff, seen in no run.

--- a/src/coordination/memory_budget.h
+++ b/src/coordination/memory_budget.h
@@ -2,11 +2,12 @@
 #define PAPAYAGLADE_COORDINATION_MEMORY_BUDGET_H_
 
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace papayaglade {
 
-/// Limits the bytes that several holders keep in memory together. Outlives its
-/// reservations.
+/// Limits the bytes that several holders keep in memory together.
 class memory_budget {
  public:
   explicit memory_budget(std::size_t limit) : limit_(limit) {}
@@ -19,7 +20,8 @@
   /// reservation.
   class reservation {
    public:
-    explicit reservation(memory_budget& budget) : budget_(budget) {}
+    explicit reservation(std::shared_ptr<memory_budget> budget)
+        : budget_(std::move(budget)) {}
     ~reservation() { Resize(0); }
     reservation(const reservation&) = delete;
     reservation& operator=(const reservation&) = delete;
@@ -29,7 +31,7 @@
     bool Resize(std::size_t bytes);
 
    private:
-    memory_budget& budget_;
+    std::shared_ptr<memory_budget> budget_;
     std::size_t bytes_ = 0;
   };
 
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -196,7 +196,7 @@
   request_in_progress_ = true;
   // Such a body can never be held, also if the caller tries again.
   const bool too_large =
-      parser_->content_length().value_or(0) > owner_.RequestMemory().Limit();
+      parser_->content_length().value_or(0) > owner_.RequestMemory()->Limit();
   if (too_large) return owner_.OnMalformed(shared_from_this(), true);
   const caller_message message = parser_->release();
   owner_.OnNoMemory(shared_from_this(), message);
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -43,7 +43,7 @@
     virtual void OnNoMemory(const std::shared_ptr<caller_connection>& from,
                             const caller_message& message) = 0;
     /// Returns the budget for the requests of all connections.
-    virtual memory_budget& RequestMemory() = 0;
+    virtual const std::shared_ptr<memory_budget>& RequestMemory() const = 0;
     /// Called when the memory that holds an unwritten answer of the connection
     /// changes from `before` bytes to `after`. May close other connections.
     virtual void OnHeldBytes(const caller_connection& of, std::size_t before,
--- a/src/transport/caller_port.cc
+++ b/src/transport/caller_port.cc
@@ -32,7 +32,7 @@
       service_(service),
       max_connections_(max_connections),
       memory_(memory),
-      request_memory_(memory.requests),
+      request_memory_(std::make_shared<memory_budget>(memory.requests)),
       acceptor_(loop.Io()) {}
 
 std::string caller_port::Listen(const endpoint& address) {
--- a/src/transport/caller_port.h
+++ b/src/transport/caller_port.h
@@ -60,7 +60,9 @@
                    bool too_large) override;
   void OnNoMemory(const std::shared_ptr<caller_connection>& from,
                   const caller_message& message) override;
-  memory_budget& RequestMemory() override { return request_memory_; }
+  const std::shared_ptr<memory_budget>& RequestMemory() const override {
+    return request_memory_;
+  }
   void OnHeldBytes(const caller_connection& of, std::size_t before,
                    std::size_t after) override;
   bool HasRoomForAnswers() const override;
@@ -84,7 +86,8 @@
   service& service_;
   std::size_t max_connections_;
   memory_shares memory_;
-  memory_budget request_memory_;
+  /// Shared with the connections, which others may keep for longer.
+  std::shared_ptr<memory_budget> request_memory_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::set<std::shared_ptr<caller_connection>> connections_;
   std::size_t held_bytes_ = 0;  ///< Sizes of all answers that are not written.
--- a/tests/unit/memory_budget_test.cc
+++ b/tests/unit/memory_budget_test.cc
@@ -1,28 +1,42 @@
 #include "coordination/memory_budget.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
+#include <utility>
 
 #include "coordination/memory_shares.h"
 
 namespace papayaglade {
 
 TEST_CASE("a budget bounds what all its reservations hold", "[memory]") {
-  memory_budget budget(100);
+  const auto budget = std::make_shared<memory_budget>(100);
   memory_budget::reservation first(budget);
   CHECK(first.Resize(60));
   {
     memory_budget::reservation second(budget);
     CHECK_FALSE(second.Resize(41));
-    CHECK(budget.Reserved() == 60);
+    CHECK(budget->Reserved() == 60);
     CHECK(second.Resize(40));
     CHECK_FALSE(first.Resize(61));
     CHECK(first.Resize(50));
     CHECK(second.Resize(50));
   }
-  CHECK(budget.Reserved() == 50);
+  CHECK(budget->Reserved() == 50);
   CHECK_FALSE(first.Resize(static_cast<std::size_t>(-1)));
   CHECK(first.Resize(0));
-  CHECK(budget.Reserved() == 0);
+  CHECK(budget->Reserved() == 0);
+}
+
+// Guards against the use of a budget that has ended before its reservation.
+TEST_CASE("a reservation may outlive the owner of its budget", "[memory]") {
+  auto budget = std::make_shared<memory_budget>(100);
+  const std::weak_ptr<memory_budget> weak = budget;
+  {
+    memory_budget::reservation held(std::move(budget));
+    CHECK(held.Resize(60));
+    CHECK(weak.lock()->Reserved() == 60);
+  }
+  CHECK(weak.expired());
 }
 
 // Guards against the end of the process by its memory: all shares together fit
