Let a caller of serve read its last answer before the connection closes

It now ends its sending side and drops what arrives until the caller closes, for a second at most, as the entry's connections do.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -28,6 +28,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kDrainPollInterval{20};
+// Closing a connection with unread bytes resets it, which destroys an answer on
+// its way. After the last answer, bytes are therefore read and dropped until
+// the caller closes the connection, for this long at most.
+constexpr std::chrono::milliseconds kCloseDelay{1000};
 constexpr int kHttp11 = 11;
 
 }  // namespace
@@ -276,8 +280,27 @@
         stream_, response_,
         [self = this->shared_from_this()](error_code failed, std::size_t) {
           self->writing_ = false;
-          if (failed || !self->keep_alive_) return self->Close();
-          self->Read();
+          if (failed) return self->Close();
+          if (self->keep_alive_) return self->Read();
+          self->EndWriting();
+        });
+  }
+
+  // The session stays in the set, because the answer may still be on its way.
+  void EndWriting() {
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.expires_after(kCloseDelay);
+    DropUntilEnd();
+  }
+
+  void DropUntilEnd() {
+    buffer_.clear();
+    stream_.async_read_some(
+        buffer_.prepare(kDropReadBytes),
+        [self = this->shared_from_this()](error_code failed, std::size_t) {
+          if (failed) return self->Close();
+          self->DropUntilEnd();
         });
   }
 
@@ -291,6 +314,7 @@
   }
 
   static constexpr std::size_t kFirstReadBytes = 4096;
+  static constexpr std::size_t kDropReadBytes = 16384;
 
   implementation& server_;
   beast::tcp_stream stream_;
