Keep more room in a stop only for what was slow twice

The double room is now kept for the second longest duration; a single outlier counts one and a half times, as for requests that may be repeated.

--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -448,7 +448,7 @@
   for (const auto& each : active_) {
     if (!longest.has_value()) break;
     if (each->Route().name != request.Route().name) continue;
-    longest = std::max(*longest, each->Age());
+    longest->Add(each->Age());
   }
   return stop_->MayTake(
       TimeNeeded(longest, request.Route().idempotent, request.TimeAllowed()),
--- a/src/coordination/query_engine.cc
+++ b/src/coordination/query_engine.cc
@@ -206,7 +206,7 @@
     if (!longest.has_value()) break;
     const open_request& other = each.second;
     if (other.is_answered || other.workload != work.name) continue;
-    longest = std::max(*longest, Since(other.start, now));
+    longest->Add(Since(other.start, now));
   }
   const auto allowed = Since(now, spec.deadline);
   return stop_->MayTake(TimeNeeded(longest, work.repeatable, allowed), now);
--- a/src/coordination/route_durations.h
+++ b/src/coordination/route_durations.h
@@ -12,6 +12,14 @@
 
 namespace papayaglade {
 
+/// The two longest durations of several requests.
+struct longest_durations {
+  std::chrono::milliseconds first{0};
+  std::chrono::milliseconds second{0};
+
+  void Add(std::chrono::milliseconds duration);
+};
+
 /// Learns from the recent requests of each route how long one of them may take.
 class route_durations {
  public:
@@ -19,18 +27,18 @@
   void Add(const std::string& route, std::chrono::milliseconds duration,
            monotonic_time now);
 
-  /// Returns the longest recent duration of `route`; empty while there are too
+  /// Returns the longest recent durations of `route`; empty while there are too
   /// few. For an `idempotent` request one is enough.
-  std::optional<std::chrono::milliseconds> Longest(const std::string& route,
-                                                   bool idempotent,
-                                                   monotonic_time now) const;
+  std::optional<longest_durations> Longest(const std::string& route,
+                                           bool idempotent,
+                                           monotonic_time now) const;
 
  private:
   /// The requests of one span of time.
   struct span {
     std::int64_t number = -1;
     std::size_t count = 0;
-    std::chrono::milliseconds longest{0};
+    longest_durations longest;
   };
   static constexpr std::size_t kSpans = 4;
 
@@ -38,10 +46,11 @@
 };
 
 /// Returns the time that a request may need, of the `allowed` time at most:
-/// `longest` is the longest that one like it took recently, if that is known. A
-/// request that must not be repeated gets more room than an `idempotent` one.
+/// `longest` are the longest that those like it took recently, if that is
+/// known. A request that must not be repeated gets more room than an
+/// `idempotent` one.
 std::chrono::milliseconds TimeNeeded(
-    std::optional<std::chrono::milliseconds> longest, bool idempotent,
+    const std::optional<longest_durations>& longest, bool idempotent,
     std::chrono::milliseconds allowed);
 
 }  // namespace papayaglade
