--- a/tests/soak/case_tier.py
+++ b/tests/soak/case_tier.py
@@ -2,6 +2,7 @@
 its callers see."""
 
 import asyncio
+import os
 import signal
 import socket
 import types
@@ -94,6 +95,16 @@
         self.instance.stopping = True
         self.instance.signal(signal.SIGTERM)
 
+    async def log_lines_of(self, event, timeout_s=2):
+        """Returns the log lines of an event, once there are any."""
+        end = self.now() + timeout_s
+        while True:
+            with open(os.path.join(self.folder, f"{self.name}.log")) as log:
+                lines = [each for each in log if f"event={event} " in each]
+            if lines or self.now() > end:
+                return lines
+            await asyncio.sleep(.05)
+
     def highest_memory_mb(self):
         with open(f"/proc/{self.instance.process.pid}/status") as status:
             return next(int(line.split()[1]) for line in status
