Hand the far legs of a fan-out over to instances near their upstreams

The first attempts of a fan-out that lead to another data centre, three or more, now go in one message to an instance there, which asks its own upstreams and returns the greatest records, the signatures and who failed: together, or what is there when hedges would be sent, and the rest as it comes. Retries, hedges and the decision when it is enough stay with the first instance; direct sending is the fallback at once where no link is open, the other refuses, or the link closes. Merged parts replace what a hedge has answered, as their records cannot be taken out. An instance keeps links to two of each data centre, by weighted rendezvous hashing over cores, and avoids those that are slow or silent. What upstreams say about themselves comes back with the answers.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -12,6 +12,8 @@
 #include "app/metrics_registry.h"
 #include "app/operators_service.h"
 #include "app/port_shutdown.h"
+#include "app/relay_client.h"
+#include "app/relay_server.h"
 #include "app/service_files.h"
 #include "app/store_mirror.h"
 #include "app/store_object_applier.h"
@@ -60,7 +62,13 @@
         metrics_port_(loop_, metrics_service_, kOperatorConnections),
         signals_(loop_.Io(), SIGTERM, SIGINT, SIGHUP),
         applier_(format, log_, directory_, service_),
-        mirror_(loop_, format, log_, settings, CanFollow(),
+        links_(loop_),
+        relay_client_(loop_, links_,
+                      {settings.name, settings.data_centre, settings.control,
+                       settings.cores},
+                      reachability_),
+        relay_server_(loop_, links_, directory_, upstream_client_),
+        mirror_(loop_, format, log_, links_, settings, CanFollow(),
                 {[this](stored_kind kind, const auto& objects) {
                    applier_.OnChanges(kind, objects);
                  },
@@ -75,6 +83,7 @@
                     directory_.SetFleet(fleet);
                     policy_.SetInstances(fleet.instances);
                     mirror_.SetMembers(members);
+                    relay_client_.SetMembers(members);
                   }) {}
 
   std::string Start() {
@@ -104,6 +113,7 @@
       return std::chrono::duration_cast<milliseconds>(loop_context::Now() -
                                                       mirror_.LastAnswer());
     });
+    service_.SetRelays(&relay_client_);
     failed = mirror_.Start();
     if (!failed.empty()) return BindFailure("control", failed);
     AwaitSignal();
@@ -153,6 +163,17 @@
               AttemptEndName(each.first) + "\"} " +
               std::to_string(each.second) + "\n";
     }
+    const auto& relays = relay_client_.Totals();
+    text += "papayaglade_relay_requests_total " +
+            std::to_string(relays.requests) + "\n";
+    text +=
+        "papayaglade_relay_legs_total " + std::to_string(relays.legs) + "\n";
+    text += "papayaglade_relay_requests_lost_total " +
+            std::to_string(relays.lost) + "\n";
+    text += "papayaglade_relay_requests_silent_total " +
+            std::to_string(relays.silent) + "\n";
+    text += "papayaglade_relayed_legs_for_others_total " +
+            std::to_string(relay_server_.LegCount()) + "\n";
     text += "papayaglade_upstream_leaving_notices_total " +
             std::to_string(totals.leaving_notices) + "\n";
     text += "papayaglade_upstream_pauses_total " +
@@ -294,6 +315,7 @@
     const auto late =
         std::chrono::duration_cast<milliseconds>(now - stop_->Start());
     service_.BeginStop(*stop_);
+    relay_server_.BeginStop();
     registry_.Leave();
     mirror_.StopServing();
     log_.Write(
@@ -354,6 +376,9 @@
   caller_port metrics_port_;
   boost::asio::signal_set signals_;
   store_object_applier applier_;
+  instance_links links_;
+  relay_client relay_client_;
+  relay_server relay_server_;
   store_mirror mirror_;
   instance_registry registry_;
   stall_monitor stalls_{kReachabilityCheckInterval, loop_context::Now()};
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -23,6 +23,8 @@
 
 namespace papayaglade {
 
+class relay_client;
+
 /// Serves callers' requests: finds the route of each request, runs it against
 /// the upstreams, and records the outcome in the log and the metrics.
 class entry_service : public caller_port::service {
@@ -45,6 +47,10 @@
   /// Returns whether the routes of more than half of the recent requests cannot
   /// be served because their upstreams are unreachable.
   bool MostRequestsUnservable(monotonic_time now) const;
+  /// Sets the client that hands legs of fan-outs over to other instances;
+  /// without it, this instance asks all upstreams itself. It must outlive the
+  /// service.
+  void SetRelays(relay_client* relays) { relays_ = relays; }
   /// Sets the function that returns the age of the local copy of the store.
   void SetStateAge(std::function<std::chrono::milliseconds()> age) {
     state_age_ = std::move(age);
@@ -108,6 +114,7 @@
   upstream_directory& directory_;
   attempt_policy& policy_;
   upstream_client& upstream_client_;
+  relay_client* relays_ = nullptr;
   structured_log& log_;
   metrics_registry& metrics_;
   std::optional<route_table> routes_;
--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -142,9 +142,16 @@
   const auto place = members_.lower_bound(self_.name);
   const bool listed = place != members_.end() && place->first == self_.name;
   const std::size_t count = members_.size() + (listed ? 0 : 1);
-  const fleet_position fleet{
+  fleet_position fleet{
       std::max(count, starting ? kMinStartupInstances : std::size_t{1}),
-      static_cast<std::size_t>(std::distance(members_.begin(), place))};
+      static_cast<std::size_t>(std::distance(members_.begin(), place)),
+      {}};
+  // The others of a data centre may not have registered yet.
+  if (!starting) {
+    for (const auto& each : members_)
+      ++fleet.by_data_centre[each.second.data_centre];
+    if (!listed) ++fleet.by_data_centre[self_.data_centre];
+  }
   if (!last_position_.has_value() || !(fleet == *last_position_)) {
     log_.Write(structured_log::kind::kEvent,
                log_line("instances")
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -47,21 +47,16 @@
 }  // namespace
 
 store_mirror::store_mirror(loop_context& loop, const store_format& format,
-                           structured_log& log, const entry_settings& settings,
-                           bool sharing, handlers handlers)
+                           structured_log& log, instance_links& links,
+                           const entry_settings& settings, bool sharing,
+                           handlers handlers)
     : loop_(loop),
       log_(log),
       name_(settings.name),
       control_(settings.control),
       seeds_(settings.seeds),
       handlers_(std::move(handlers)),
-      links_(loop, {[this](auto link) { OnOpen(link); },
-                    [this](auto link, const mirror_message& message) {
-                      OnMessage(link, message);
-                    },
-                    [this](auto link, const std::string& why) {
-                      OnClosed(link, why);
-                    }}),
+      links_(links),
       selector_({settings.name, settings.data_centre, settings.control,
                  settings.cores},
                 sharing),
@@ -81,6 +76,12 @@
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
     if (i != kLivenessKind) kinds_[i].feed.SetResumeRequired();
   }
+  links_.AddHandlers(
+      {[this](auto link) { OnOpen(link); },
+       [this](auto link, const std::string& bytes) {
+         return OnMessage(link, bytes);
+       },
+       [this](auto link, const std::string& why) { OnClosed(link, why); }});
 }
 
 store_feed::handlers store_mirror::HandlersOf(std::size_t kind) {
@@ -172,9 +173,9 @@
   if (complete && page.content == page_content::kWhole) {
     // Most followers have the same state as this copy had, and the list may be
     // long, so only the difference is sent.
-    links_.Send(FollowerLinks(), own.objects.MakeDifference(before, *changes));
+    SendToFollowers(own.objects.MakeDifference(before, *changes));
   } else if (!complete || !page.objects.empty()) {
-    links_.Send(FollowerLinks(), page);
+    SendToFollowers(page);
   }
   if (!changes->empty()) {
     std::vector<stored_object> objects;
@@ -188,11 +189,15 @@
   return true;
 }
 
-std::vector<mirror_links::id> store_mirror::FollowerLinks() const {
-  std::vector<mirror_links::id> links;
-  links.reserve(followers_.size());
-  for (const auto& each : followers_) links.push_back(each.first);
-  return links;
+void store_mirror::Send(instance_links::id link,
+                        const mirror_message& message) {
+  links_.Send(link, EncodeMirrorMessage(message));
+}
+
+void store_mirror::SendToFollowers(const mirror_message& message) {
+  if (followers_.empty()) return;
+  const std::string bytes = EncodeMirrorMessage(message);
+  for (const auto& each : followers_) links_.Send(each.first, bytes);
 }
 
 void store_mirror::OnStoreLost() {
@@ -269,8 +274,7 @@
             .With("followers", static_cast<std::int64_t>(followers_.size())));
   }
   reported_state_ = state;
-  const source_report report{state, Positions()};
-  links_.Send(FollowerLinks(), report);
+  SendToFollowers(source_report{state, Positions()});
 }
 
 bool store_mirror::IsStoreAnswering(monotonic_time now) const {
@@ -287,20 +291,23 @@
   return current ? source_state::kWatching : source_state::kLost;
 }
 
-void store_mirror::OnOpen(mirror_links::id link) {
+void store_mirror::OnOpen(instance_links::id link) {
   if (sources_.count(link) != 0) Subscribe(link);
 }
 
-void store_mirror::Subscribe(mirror_links::id link) {
-  links_.Send(link, mirror_subscription{name_, Positions()});
+void store_mirror::Subscribe(instance_links::id link) {
+  Send(link, mirror_subscription{name_, Positions()});
 }
 
-void store_mirror::OnMessage(mirror_links::id link,
-                             const mirror_message& message) {
-  std::visit([this, link](const auto& each) { Receive(link, each); }, message);
+bool store_mirror::OnMessage(instance_links::id link,
+                             const std::string& bytes) {
+  const auto message = DecodeMirrorMessage(bytes);
+  if (!message.has_value()) return false;
+  std::visit([this, link](const auto& each) { Receive(link, each); }, *message);
+  return true;
 }
 
-void store_mirror::Receive(mirror_links::id link,
+void store_mirror::Receive(instance_links::id link,
                            const mirror_subscription& message) {
   if (!serving_) return links_.Close(link);
   const bool known = followers_.count(link) != 0;
@@ -310,16 +317,16 @@
     const std::size_t kind = IndexOf(each.kind);
     if (kind == kinds_.size()) continue;
     const auto page = kinds_[kind].objects.PageSince(each);
-    if (page.has_value()) links_.Send(link, *page);
+    if (page.has_value()) Send(link, *page);
   }
   if (known) return;
   log_.Write(structured_log::kind::kEvent,
              log_line("follower_linked").With("instance", message.instance));
-  links_.Send(link, fleet_report{members_});
-  links_.Send(link, source_report{State(now), Positions()});
+  Send(link, fleet_report{members_});
+  Send(link, source_report{State(now), Positions()});
 }
 
-void store_mirror::Receive(mirror_links::id link, const mirror_page& page) {
+void store_mirror::Receive(instance_links::id link, const mirror_page& page) {
   if (sources_.count(link) == 0) return;
   const std::size_t kind = IndexOf(page.kind);
   if (kind == kinds_.size()) return;
@@ -327,7 +334,8 @@
   if (!ApplyPage(kind, page) && newer) Subscribe(link);
 }
 
-void store_mirror::Receive(mirror_links::id link, const source_report& report) {
+void store_mirror::Receive(instance_links::id link,
+                           const source_report& report) {
   const auto source = sources_.find(link);
   if (source == sources_.end()) return;
   const monotonic_time now = loop_context::Now();
@@ -343,12 +351,13 @@
   UpdateSources(now);
 }
 
-void store_mirror::Receive(mirror_links::id link, const fleet_report& report) {
+void store_mirror::Receive(instance_links::id link,
+                           const fleet_report& report) {
   if (sources_.count(link) == 0 || report.members.empty()) return;
   handlers_.on_members(report.members);
 }
 
-void store_mirror::OnClosed(mirror_links::id link, const std::string& why) {
+void store_mirror::OnClosed(instance_links::id link, const std::string& why) {
   const auto source = sources_.find(link);
   if (source != sources_.end()) {
     const std::string name = source->second;
@@ -369,13 +378,13 @@
 }
 
 void store_mirror::DropExpiredFollowers(monotonic_time now) {
-  std::vector<mirror_links::id> expired;
+  std::vector<instance_links::id> expired;
   for (const auto& each : followers_) {
     if (now - each.second.last_subscription > kFollowerTimeout) {
       expired.push_back(each.first);
     }
   }
-  for (const mirror_links::id each : expired) {
+  for (const instance_links::id each : expired) {
     links_.Close(each);
     OnClosed(each, "silent");
   }
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -14,7 +14,7 @@
 #include "coordination/object_mirror.h"
 #include "coordination/source_selector.h"
 #include "state/entry_settings.h"
-#include "transport/mirror_links.h"
+#include "transport/instance_links.h"
 
 namespace papayaglade {
 
@@ -35,8 +35,8 @@
   /// `sharing` is whether the bounds on the delay of changes allow this
   /// instance to follow others instead of watching the store.
   store_mirror(loop_context& loop, const store_format& format,
-               structured_log& log, const entry_settings& settings,
-               bool sharing, handlers handlers);
+               structured_log& log, instance_links& links,
+               const entry_settings& settings, bool sharing, handlers handlers);
 
   /// Starts to listen and to look for sources. Returns an empty string, or why
   /// the control address cannot be bound.
@@ -76,8 +76,9 @@
   /// Applies a page to the copy of one kind and forwards it to the followers.
   /// Returns whether the page was applicable and newer than the copy.
   bool ApplyPage(std::size_t kind, const mirror_page& page);
-  /// Returns the links of all followers.
-  std::vector<mirror_links::id> FollowerLinks() const;
+  void Send(instance_links::id link, const mirror_message& message);
+  /// Sends `message` to all followers and encodes it only once.
+  void SendToFollowers(const mirror_message& message);
   /// Handles a failed call of one feed.
   void OnStoreLost();
   void ResumeFeeds();
@@ -97,15 +98,16 @@
   /// Returns the state to report to the followers.
   source_state State(monotonic_time now) const;
 
-  void OnOpen(mirror_links::id link);
-  void OnMessage(mirror_links::id link, const mirror_message& message);
-  void OnClosed(mirror_links::id link, const std::string& why);
-  void Receive(mirror_links::id link, const mirror_subscription& message);
-  void Receive(mirror_links::id link, const mirror_page& page);
-  void Receive(mirror_links::id link, const source_report& report);
-  void Receive(mirror_links::id link, const fleet_report& report);
+  void OnOpen(instance_links::id link);
+  /// Returns false if the message is for another component or unreadable.
+  bool OnMessage(instance_links::id link, const std::string& bytes);
+  void OnClosed(instance_links::id link, const std::string& why);
+  void Receive(instance_links::id link, const mirror_subscription& message);
+  void Receive(instance_links::id link, const mirror_page& page);
+  void Receive(instance_links::id link, const source_report& report);
+  void Receive(instance_links::id link, const fleet_report& report);
   /// Sends this instance's positions to a source and asks for what is newer.
-  void Subscribe(mirror_links::id link);
+  void Subscribe(instance_links::id link);
   void DropExpiredFollowers(monotonic_time now);
   std::vector<mirror_position> Positions() const;
 
@@ -115,14 +117,14 @@
   endpoint control_;
   std::vector<std::string> seeds_;
   handlers handlers_;
-  mirror_links links_;
+  instance_links& links_;
   source_selector selector_;
   std::array<mirrored_kind, kMirroredKinds.size()> kinds_;
   std::vector<fleet_member> members_;
   /// Names of the sources, by link.
-  std::map<mirror_links::id, std::string> sources_;
+  std::map<instance_links::id, std::string> sources_;
   /// The followers, keyed by link.
-  std::map<mirror_links::id, follower> followers_;
+  std::map<instance_links::id, follower> followers_;
   /// State last reported to the followers.
   source_state reported_state_ = source_state::kFollowing;
   bool watching_ = false;
--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -114,10 +114,7 @@
       std::find(current.in_flight.begin(), current.in_flight.end(), number));
   switch (result.end) {
     case attempt_end::kAnswered:
-      CloseLeg(current, leg_state::kAnswered);
-      ++answered_legs_;
-      for (const std::uint64_t other : current.in_flight) port_.Abandon(other);
-      current.in_flight.clear();
+      OnLegAnswered(current);
       if (fanout_ == nullptr) {
         return Finish(relayed_answer{std::move(result.reply)});
       }
@@ -169,8 +166,46 @@
 }
 
 void request_run::CloseLeg(leg& leg, leg_state state) {
+  if (leg.state == leg_state::kOpen) --open_legs_;
   leg.state = state;
-  --open_legs_;
+}
+
+void request_run::OnLegAnswered(leg& leg) {
+  if (leg.state != leg_state::kAnswered) ++answered_legs_;
+  CloseLeg(leg, leg_state::kAnswered);
+  for (const std::uint64_t other : leg.in_flight) port_.Abandon(other);
+  leg.in_flight.clear();
+}
+
+void request_run::OnMergedParts(const std::vector<relay_part>& parts,
+                                std::string records, monotonic_time now) {
+  if (is_done_ || parts.empty() || !CanTakeMerged(parts)) return;
+  for (const relay_part& each : parts) {
+    leg& current = legs_[leg_by_attempt_[each.number - 1]];
+    auto& in_flight = current.in_flight;
+    in_flight.erase(
+        std::remove(in_flight.begin(), in_flight.end(), each.number),
+        in_flight.end());
+    OnLegAnswered(current);
+    current.is_merged = true;
+    current.signature = each.signature;
+    current.part.clear();
+  }
+  legs_[leg_by_attempt_[parts.front().number - 1]].part = std::move(records);
+  FinishIfSettled(now);
+}
+
+bool request_run::CanTakeMerged(const std::vector<relay_part>& parts) const {
+  std::vector<std::size_t> taken;
+  for (const relay_part& each : parts) {
+    if (each.number == 0 || each.number > leg_by_attempt_.size()) return false;
+    const std::size_t index = leg_by_attempt_[each.number - 1];
+    const bool again =
+        std::find(taken.begin(), taken.end(), index) != taken.end();
+    if (again || legs_[index].is_merged) return false;
+    taken.push_back(index);
+  }
+  return true;
 }
 
 void request_run::FinishBy(monotonic_time time) {
@@ -183,8 +218,8 @@
 
 void request_run::Cancel() {
   if (is_done_) return;
-  AbandonAll();
   is_done_ = true;
+  AbandonAll();
 }
 
 run_statistics request_run::Statistics() const {
@@ -398,9 +433,10 @@
   Finish(refused_answer{cause, RetryAfter(now)});
 }
 
+// The port may report results while attempts are abandoned.
 void request_run::Finish(entry_answer answer) {
-  AbandonAll();
   is_done_ = true;
+  AbandonAll();
   port_.Finish(std::move(answer));
 }
 
--- a/src/coordination/request_run.h
+++ b/src/coordination/request_run.h
@@ -12,6 +12,7 @@
 #include "coordination/attempt_policy.h"
 #include "coordination/upstream_directory.h"
 #include "state/entry_messages.h"
+#include "state/relay_message.h"
 #include "state/route.h"
 #include "state/time.h"
 
@@ -81,6 +82,11 @@
   /// Handles the end of an attempt. Results of abandoned attempts are ignored.
   void OnResult(std::uint64_t number, attempt_result result,
                 monotonic_time now);
+  /// Handles the answers of several legs, whose records another instance has
+  /// merged into `records`. They replace what other attempts of these legs have
+  /// answered, as their records cannot be taken out again.
+  void OnMergedParts(const std::vector<relay_part>& parts, std::string records,
+                     monotonic_time now);
   /// Sends due retries and hedges and finishes when time is up. Call it at
   /// NextTimer or later.
   void OnTimer(monotonic_time now);
@@ -95,6 +101,8 @@
   /// Returns the time by which the run finishes.
   monotonic_time Deadline() const { return deadline_; }
   bool IsDone() const { return is_done_; }
+  /// Returns the number of attempts that were sent.
+  std::size_t AttemptCount() const { return last_attempt_number_; }
   const route& Route() const { return *context_.matched_route; }
   run_statistics Statistics() const;
 
@@ -136,8 +144,10 @@
     std::size_t refusals = 0;
     /// After a refusal: time from which an upstream may be asked again.
     monotonic_time retry_refused_at;
-    /// The answer of the shard, once there is one.
+    /// The answer of the shard, once there is one. One of several merged parts
+    /// has the records of all, the others have none.
     std::string part;
+    bool is_merged = false;  ///< The answer came with OnMergedParts.
     /// The upstream's signature of its answer.
     std::string signature;
   };
@@ -168,6 +178,10 @@
   void AbandonAll();
   void AdvanceLeg(std::size_t index, monotonic_time now);
   void CloseLeg(leg& leg, leg_state state);
+  /// Closes the leg as answered and abandons its attempts.
+  void OnLegAnswered(leg& leg);
+  /// Returns whether the parts are of different legs, none of them merged yet.
+  bool CanTakeMerged(const std::vector<relay_part>& parts) const;
   void ScheduleNextTimer(monotonic_time now);
   /// Returns when the leg next needs OnTimer; empty if it only awaits results.
   std::optional<monotonic_time> NextTimerOf(const leg& leg,
--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -4,6 +4,8 @@
 #include <functional>
 #include <utility>
 
+#include "coordination/capacity_share.h"
+
 namespace papayaglade {
 
 namespace {
@@ -166,14 +168,13 @@
       UpstreamsOf(*criteria.service);
   if (candidates.empty()) return nullptr;
   if (criteria.excluded->empty()) RecordRequest(*criteria.service, now);
-  const connection_share share = ConnectionShare(*criteria.service);
-  upstream_pointer best = FindBest(candidates, criteria, share.preferred, now);
+  upstream_pointer best =
+      FindBest(candidates, criteria, share_limit::kPreferred, now);
   // A leaving upstream is asked only if no other one can be.
   const bool leaves = best != nullptr && best->usable_until.has_value();
-  if (share.maximum == share.preferred || (best != nullptr && !leaves))
-    return best;
+  if (best != nullptr && !leaves) return best;
   const upstream_pointer other =
-      FindBest(candidates, criteria, share.maximum, now);
+      FindBest(candidates, criteria, share_limit::kMaximum, now);
   return other == nullptr ? best : other;
 }
 
@@ -201,8 +202,7 @@
 
 upstream_pointer upstream_directory::FindBest(
     const std::vector<upstream_pointer>& candidates,
-    const upstream_criteria& criteria, std::size_t max_pending,
-    monotonic_time now) {
+    const upstream_criteria& criteria, share_limit limit, monotonic_time now) {
   upstream_pointer best;
   bool best_leaves = false;
   double lowest_cost = 0;
@@ -213,7 +213,11 @@
     const std::size_t position = (offset + i) % candidates.size();
     const auto& each = candidates[position];
     if (!IsUsable(*each, now)) continue;
-    if (each->health.PendingCount() >= MaxPending(*each, max_pending)) continue;
+    if (criteria.own_data_centre_only &&
+        each->record.data_centre != data_centre_) {
+      continue;
+    }
+    if (each->health.PendingCount() >= MaxPending(*each, limit)) continue;
     const auto& excluded = *criteria.excluded;
     if (std::find(excluded.begin(), excluded.end(), each->record.id) !=
         excluded.end()) {
@@ -238,13 +242,16 @@
                                   monotonic_time now) const {
   if (!Contains(upstream) || !IsUsable(*upstream, now)) return false;
   return upstream->health.PendingCount() <
-         MaxPending(*upstream,
-                    ConnectionShare(upstream->record.service).maximum);
+         MaxPending(*upstream, share_limit::kMaximum);
 }
 
 std::size_t upstream_directory::MaxPending(const known_upstream& upstream,
-                                           std::size_t share) {
-  return std::min(share, upstream.pause.MaxPending());
+                                           share_limit limit) const {
+  const connection_share share =
+      ConnectionShare(upstream.record.service, upstream.record.data_centre);
+  return std::min(
+      limit == share_limit::kMaximum ? share.maximum : share.preferred,
+      upstream.pause.MaxPending());
 }
 
 bool upstream_directory::HasUsable(const std::string& service,
@@ -313,11 +320,13 @@
 }
 
 upstream_directory::connection_share upstream_directory::ConnectionShare(
-    const std::string& service) const {
+    const std::string& service, const std::string& data_centre) const {
   const service_limits* limits = LimitsOf(service);
   if (limits == nullptr) return {};
-  const std::size_t maximum_share =
-      std::max<std::size_t>(1, limits->connections / fleet_.instances);
+  const auto maximum_share =
+      std::max<std::size_t>(1, static_cast<std::size_t>(CapacityShare(
+                                   static_cast<double>(limits->connections),
+                                   data_centre, data_centre_, fleet_)));
   return {std::max<std::size_t>(1, maximum_share / kConnectionGenerations),
           maximum_share};
 }
@@ -384,9 +393,10 @@
   if (limits == nullptr) return false;
   const double rate = limits->warmup_requests_per_second;
   if (rate <= 0) return true;
-  const double share = kWarmupSafetyShare *
-                       (rate * warmup_.overshoot + warmup_.slack) /
-                       static_cast<double>(fleet_.instances);
+  const double share =
+      kWarmupSafetyShare *
+      CapacityShare(rate * warmup_.overshoot + warmup_.slack,
+                    upstream.record.data_centre, data_centre_, fleet_);
   const auto recent_requests = std::count_if(
       upstream.cold_request_times.begin(), upstream.cold_request_times.end(),
       [&](monotonic_time sent) { return now - sent < kWarmupWindow; });
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -54,6 +54,8 @@
   const std::vector<std::string>* excluded = nullptr;
   /// An upstream with an attempt pending for longer than this is suspect.
   std::chrono::microseconds suspect_after{0};
+  /// No upstream of another data centre may be chosen.
+  bool own_data_centre_only = false;
 };
 
 /// Holds the upstreams of all services and chooses the one to ask next.
@@ -76,12 +78,17 @@
   /// Erases an upstream at once, as when another one answers at its address.
   void Erase(const std::string& id);
 
+  const std::string& DataCentre() const { return data_centre_; }
   /// Returns how long a leaving upstream may still be asked when no other one
   /// can be.
   std::chrono::milliseconds DrainTime() const { return drain_time_; }
 
   void SetConfiguration(
       std::shared_ptr<const tier_configuration> configuration);
+  /// Returns null if there is no configuration yet.
+  const std::shared_ptr<const tier_configuration>& Configuration() const {
+    return configuration_;
+  }
   /// Sets the closed data centres: nothing is sent there.
   void SetClosedDataCentres(std::set<std::string> closed);
   /// Sets the data centres that cannot be reached at present: nothing is sent
@@ -119,14 +126,16 @@
   std::chrono::milliseconds TimeUntilUsable(const std::string& service,
                                             monotonic_time now) const;
 
-  /// Connections that this instance may hold to one upstream of a service.
+  /// Connections that this instance may hold to one upstream of a service in a
+  /// data centre.
   struct connection_share {
     /// Limit as long as another upstream of the service has capacity.
     std::size_t preferred = 1;
     /// Limit when no other upstream of the service has capacity.
     std::size_t maximum = 1;
   };
-  connection_share ConnectionShare(const std::string& service) const;
+  connection_share ConnectionShare(const std::string& service,
+                                   const std::string& data_centre) const;
 
   /// Counts a request to a cold `upstream` against its warm-up rate.
   void CountSent(known_upstream& upstream, monotonic_time now);
@@ -162,15 +171,17 @@
   /// Adapts how long observations of the service's upstreams last to the
   /// interval between its requests.
   void RecordRequest(const std::string& service, monotonic_time now);
-  /// Returns how many attempts may be pending at the upstream if its connection
-  /// share allows `share`.
-  static std::size_t MaxPending(const known_upstream& upstream,
-                                std::size_t share);
-  /// Returns the usable candidate of lowest cost with fewer pending attempts
-  /// than the share `max_pending` allows, or null. Those that leave come last.
+  /// Which limit of the connection share applies.
+  enum class share_limit { kPreferred, kMaximum };
+
+  /// Returns how many attempts may be pending at the upstream.
+  std::size_t MaxPending(const known_upstream& upstream,
+                         share_limit limit) const;
+  /// Returns the usable candidate of lowest cost with fewer than the allowed
+  /// number of pending attempts, or null. Those that leave come last.
   upstream_pointer FindBest(const std::vector<upstream_pointer>& candidates,
                             const upstream_criteria& criteria,
-                            std::size_t max_pending, monotonic_time now);
+                            share_limit limit, monotonic_time now);
   /// Returns whether this instance's share of the warm-up rate allows one more
   /// request.
   bool IsWithinWarmupRate(const known_upstream& upstream,
--- a/src/state/entry_messages.h
+++ b/src/state/entry_messages.h
@@ -63,6 +63,7 @@
   attempt_end end = attempt_end::kBroken;
   upstream_response reply;  ///< Set for kAnswered and kFailedAnswer.
   const char* why = "";     ///< Reason for logs; empty for kAnswered.
+  upstream_notice notice;   ///< What the upstream said about itself.
 };
 
 /// The caller gets the upstream's own answer.
--- a/src/state/fleet_position.h
+++ b/src/state/fleet_position.h
@@ -2,6 +2,8 @@
 #define PAPAYAGLADE_STATE_FLEET_POSITION_H_
 
 #include <cstddef>
+#include <map>
+#include <string>
 
 namespace papayaglade {
 
@@ -13,10 +15,13 @@
 
   std::size_t instances = kAssumedInstances;
   std::size_t index = 0;  ///< Less than `instances`.
+  /// Number of instances in each data centre; empty if unknown.
+  std::map<std::string, std::size_t> by_data_centre;
 };
 
 inline bool operator==(const fleet_position& a, const fleet_position& b) {
-  return a.instances == b.instances && a.index == b.index;
+  return a.instances == b.instances && a.index == b.index &&
+         a.by_data_centre == b.by_data_centre;
 }
 
 }  // namespace papayaglade
--- a/src/transport/mirror_links.cc
+++ b/src/transport/instance_links.cc
@@ -1,11 +1,12 @@
-#include "transport/mirror_links.h"
+#include "transport/instance_links.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
+#include <vector>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
 
-#include "protocol/mirror_codec.h"
 #include "transport/websocket_endpoints.h"
 
 namespace papayaglade {
@@ -40,28 +41,28 @@
 
 }  // namespace
 
-class mirror_links::implementation {
+class instance_links::implementation {
  public:
-  implementation(loop_context& loop, handlers handlers)
+  explicit implementation(loop_context& loop)
       : loop_(loop),
-        handlers_(std::move(handlers)),
         endpoints_(loop.Io(), kMaxMessageBytes, kHandshakeTimeout) {
     endpoints_.ForEachEndpoint([this](auto& end) { SetHandlers(end); });
     endpoints_.Server().set_open_handler([this](const link_handle& handle) {
       if (links_.size() >= kMaxLinks) return CloseHandle(handle, false);
-      const id link = Add(handle, false);
-      if (handlers_.on_open) handlers_.on_open(link);
+      NotifyOpen(Add(handle, false));
     });
   }
 
   ~implementation() {
-    handlers_ = {};
+    handlers_.clear();
     StopAccepting();
     for (const auto& each : links_) {
       CloseHandle(each.second.handle, each.second.dialled);
     }
   }
 
+  void AddHandlers(handlers added) { handlers_.push_back(std::move(added)); }
+
   std::string Listen(const endpoint& address) {
     return endpoints_.Listen(address);
   }
@@ -83,7 +84,7 @@
     const id link = Add(connection->get_handle(), true);
     connection->set_open_handler([this, link](const link_handle& handle) {
       if (links_.count(link) == 0) return CloseHandle(handle, true);
-      if (handlers_.on_open) handlers_.on_open(link);
+      NotifyOpen(link);
     });
     connection->set_fail_handler([this](const link_handle& handle) {
       websocketpp::lib::error_code none;
@@ -147,9 +148,23 @@
     const auto found = ids_.find(handle);
     if (found == ids_.end()) return;
     const id link = found->second;
-    const auto message = DecodeMirrorMessage(bytes);
-    if (!message.has_value()) return CloseAndNotify(link, "unreadable message");
-    if (handlers_.on_message) handlers_.on_message(link, *message);
+    const bool taken = std::any_of(
+        handlers_.begin(), handlers_.end(), [&](const handlers& each) {
+          return each.on_message && each.on_message(link, bytes);
+        });
+    if (!taken) CloseAndNotify(link, "unreadable message");
+  }
+
+  void NotifyOpen(id link) {
+    for (const handlers& each : handlers_) {
+      if (each.on_open) each.on_open(link);
+    }
+  }
+
+  void NotifyClosed(id link, const std::string& why) {
+    for (const handlers& each : handlers_) {
+      if (each.on_closed) each.on_closed(link, why);
+    }
   }
 
   void OnDisconnected(const link_handle& handle, const std::string& why) {
@@ -158,7 +173,7 @@
     const id link = found->second;
     ids_.erase(found);
     links_.erase(link);
-    if (handlers_.on_closed) handlers_.on_closed(link, why);
+    NotifyClosed(link, why);
   }
 
   void CloseAndNotify(id link, const std::string& why) {
@@ -168,11 +183,9 @@
 
   // on_closed runs later, because the caller may be iterating over its links.
   void ScheduleOnClosed(id link, const std::string& why) {
-    loop_.ScheduleAfter(std::chrono::milliseconds(0),
-                        [this, link, why](monotonic_time) {
-                          if (handlers_.on_closed)
-                            handlers_.on_closed(link, why);
-                        });
+    loop_.ScheduleAfter(
+        std::chrono::milliseconds(0),
+        [this, link, why](monotonic_time) { NotifyClosed(link, why); });
   }
 
   void CloseHandle(const link_handle& handle, bool dialled) {
@@ -180,36 +193,36 @@
   }
 
   loop_context& loop_;
-  handlers handlers_;
+  std::vector<handlers> handlers_;
   link_endpoints endpoints_;
   id last_id_ = 0;
   std::map<id, link_state> links_;
   std::map<link_handle, id, std::owner_less<link_handle>> ids_;
 };
 
-mirror_links::mirror_links(loop_context& loop, handlers handlers)
-    : implementation_(
-          std::make_unique<implementation>(loop, std::move(handlers))) {}
+instance_links::instance_links(loop_context& loop)
+    : implementation_(std::make_unique<implementation>(loop)) {}
 
-mirror_links::~mirror_links() = default;
+instance_links::~instance_links() = default;
 
-std::string mirror_links::Listen(const endpoint& address) {
+std::string instance_links::Listen(const endpoint& address) {
   return implementation_->Listen(address);
 }
 
-void mirror_links::StopAccepting() { implementation_->StopAccepting(); }
+void instance_links::StopAccepting() { implementation_->StopAccepting(); }
 
-mirror_links::id mirror_links::Dial(const endpoint& address) {
+instance_links::id instance_links::Dial(const endpoint& address) {
   return implementation_->Dial(address);
 }
 
-void mirror_links::Send(const std::vector<id>& links,
-                        const mirror_message& message) {
-  if (links.empty()) return;
-  const std::string bytes = EncodeMirrorMessage(message);
-  for (const id each : links) implementation_->Send(each, bytes);
+void instance_links::AddHandlers(handlers handlers) {
+  implementation_->AddHandlers(std::move(handlers));
+}
+
+void instance_links::Send(id link, const std::string& message) {
+  implementation_->Send(link, message);
 }
 
-void mirror_links::Close(id link) { implementation_->Close(link); }
+void instance_links::Close(id link) { implementation_->Close(link); }
 
 }  // namespace papayaglade
--- a/src/transport/mirror_links.h
+++ b/src/transport/instance_links.h
@@ -1,37 +1,39 @@
-#ifndef PAPAYAGLADE_TRANSPORT_MIRROR_LINKS_H_
-#define PAPAYAGLADE_TRANSPORT_MIRROR_LINKS_H_
+#ifndef PAPAYAGLADE_TRANSPORT_INSTANCE_LINKS_H_
+#define PAPAYAGLADE_TRANSPORT_INSTANCE_LINKS_H_
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "state/identity.h"
-#include "state/mirror_message.h"
 #include "transport/loop_context.h"
 
 namespace papayaglade {
 
 /// WebSocket links between entry instances, run on the instance's event loop.
-/// Each message is one CBOR document. A link that receives anything else is
-/// closed.
-class mirror_links {
+/// Several components share them: each message goes to the first one that takes
+/// it. A link that receives a message which none takes is closed.
+class instance_links {
  public:
   using id = std::uint64_t;
 
   struct handlers {
     std::function<void(id)> on_open;
-    std::function<void(id, const mirror_message&)> on_message;
+    /// Returns false if the message is for another component or unreadable.
+    std::function<bool(id, const std::string& bytes)> on_message;
     /// Called when the link closed or failed to open; `why` is the cause.
     std::function<void(id, const std::string& why)> on_closed;
   };
 
-  mirror_links(loop_context& loop, handlers handlers);
-  ~mirror_links();
+  explicit instance_links(loop_context& loop);
+  ~instance_links();
 
-  mirror_links(const mirror_links&) = delete;
-  mirror_links& operator=(const mirror_links&) = delete;
+  instance_links(const instance_links&) = delete;
+  instance_links& operator=(const instance_links&) = delete;
+
+  /// Adds a component. Call it before Listen and Dial.
+  void AddHandlers(handlers handlers);
 
   /// Binds `address` and accepts links on it. Returns an empty string on
   /// success, otherwise the error.
@@ -44,11 +46,7 @@
   /// Sends `message` on `link`. Closes the link and calls on_closed later if
   /// the message cannot be sent or too many bytes are buffered. Does nothing
   /// for an unknown link.
-  void Send(id link, const mirror_message& message) {
-    Send(std::vector<id>{link}, message);
-  }
-  /// Sends `message` on every link of `links` and encodes it only once.
-  void Send(const std::vector<id>& links, const mirror_message& message);
+  void Send(id link, const std::string& message);
   /// Closes the link without calling on_closed.
   void Close(id link);
 
@@ -59,4 +57,4 @@
 
 }  // namespace papayaglade
 
-#endif  // PAPAYAGLADE_TRANSPORT_MIRROR_LINKS_H_
+#endif  // PAPAYAGLADE_TRANSPORT_INSTANCE_LINKS_H_
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -129,15 +129,18 @@
   exchanges_.erase(found);
   attempt_result outcome;
   RecordPath(ended, !result.failure.has_value());
-  if (result.has_head) ApplyNotice(*ended.spec.upstream, result.message);
+  if (result.has_head)
+    outcome.notice = ApplyNotice(*ended.spec.upstream, result.message);
   if (result.failure.has_value()) {
     outcome.end = *result.failure == channel_failure::kNotConnected
                       ? attempt_end::kNotSent
                       : attempt_end::kBroken;
     outcome.why = result.why;
   } else {
+    const upstream_notice notice = outcome.notice;
     outcome = wire_.DecodeReply(std::move(result.message), *ended.spec.request,
                                 ended.fanout);
+    outcome.notice = notice;
     // After an answer to another request, no further answer on the connection
     // can be trusted.
     if (outcome.end == attempt_end::kBroken ||
@@ -152,8 +155,8 @@
   if (ended.done) ended.done(std::move(outcome));
 }
 
-void upstream_client::ApplyNotice(known_upstream& upstream,
-                                  const upstream_message& message) {
+upstream_notice upstream_client::ApplyNotice(known_upstream& upstream,
+                                             const upstream_message& message) {
   const upstream_notice notice = wire_.DecodeNotice(message);
   const bool leaves = notice.leaving && !upstream.announced_leaving;
   const bool is_new =
@@ -163,6 +166,7 @@
   if (on_notice_ && (is_new || notice.retry_after_unreadable)) {
     on_notice_(upstream.record, notice);
   }
+  return notice;
 }
 
 void upstream_client::RecordHealth(const exchange& ended, attempt_end end) {
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -99,8 +99,10 @@
   channel_pointer AcquireChannel(const upstream_pointer& upstream);
   void OnResult(id number, http_exchange_channel::result result);
   void RecordHealth(const exchange& ended, attempt_end end);
-  /// Applies what the upstream says about itself in the head of its answer.
-  void ApplyNotice(known_upstream& upstream, const upstream_message& message);
+  /// Applies and returns what the upstream says about itself in the head of its
+  /// answer.
+  upstream_notice ApplyNotice(known_upstream& upstream,
+                              const upstream_message& message);
   /// Reports a contact with the upstream, or the loss of one, to
   /// `reachability_`.
   void RecordPath(const exchange& ended, bool contact);
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,5 +1,7 @@
 """Records what callers and upstreams saw and checks the guarantees."""
 
+import asyncio
+
 from .notices import Notices
 from .searcher import RECORD_BYTES, records_of, stamp_of
 
@@ -30,7 +32,9 @@
         self.shard_sets = []    # every set of shards that has been in force
         self.violations = []
         self.sent_s = {}        # attempt -> time at which its caller sent it
-        self.notices = Notices(drain_timeout_s, self.record_violation)
+        self.instances = []
+        self.notices = Notices(drain_timeout_s, self.sent_s,
+                               self.record_violation)
         self.counts = {}
 
     def count(self, event):
@@ -63,8 +67,6 @@
                 "closed data centres get no new work",
                 f"{attempt} at {searcher.id} {now - closed:.1f} s "
                 "later")
-        self.notices.arrived(searcher, self.senders.get(attempt), attempt,
-                             self.sent_s.get(attempt, now), now)
         if attempt not in self.route_kinds:
             self.record_violation("only what callers sent is run", attempt)
 
@@ -107,10 +109,15 @@
         elif status == 200:
             self.check_relayed(attempt, message, searchers)
 
+    def record_passed_on(self, searcher, attempt):
+        self.notices.passed_on(searcher, self.senders.get(attempt), attempt,
+                               asyncio.get_running_loop().time())
+
     def check_relayed(self, attempt, message, searchers):
         stamp = message.get("papayaglade-server-stamp")
         for each in searchers.values():
             if stamp == stamp_of(each.id, attempt):
+                self.record_passed_on(each, attempt)
                 if message.body != records_of(each.id, attempt):
                     self.record_violation("answers are complete", attempt)
                 return
@@ -125,6 +132,8 @@
         if None in parts:
             return self.record_violation("parts belong to their request",
                                          attempt)
+        for each in parts:
+            self.record_passed_on(each, attempt)
         services = [p.service for p in parts]
         sets = [s for s in self.shard_sets if set(services) <= set(s)
                 and len(services) + missing == len(s)]
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -7,8 +7,8 @@
 # Requests that are on their way when a pause begins.
 PAUSE_SLACK_S = 0.5
 PAUSE_ALLOWANCE = 2
-# An instance may have ended an attempt before it read the answer.
-UNHEARD_ANSWERS = 2
+# An instance may have ended an attempt before it read the refusal.
+UNHEARD_REFUSALS = 2
 REPUBLISH_INTERVAL_S = 0.5
 RUBBISH = ["soon", "-5", "1e9", "Wed, 21 Oct 2026 07:28:00 GMT", ""]
 
@@ -17,10 +17,14 @@
     """Records what searchers said to each process of an instance, and checks
     the requests that reach them later."""
 
-    def __init__(self, drain_timeout_s, record_violation):
+    def __init__(self, drain_timeout_s, sent_s, record_violation):
         self.drain_timeout_s = drain_timeout_s
+        self.sent_s = sent_s  # attempt -> time at which its caller sent it
+        self.concerned = set()  # searchers that have said something
         self.record_violation = record_violation
-        self.leaving = {}  # searcher, process -> times at which it said so
+        self.told = {}     # attempt, searcher -> instance that it told
+        self.leaving = {}  # searcher, process -> since when that one knows
+        self.refusals = {}  # searcher, process -> refusals that said so
         self.pauses = {}   # searcher, process -> (from, until)
         self.early = {}    # searcher, process -> arrivals within the pause
 
@@ -28,12 +32,35 @@
     def key(searcher, instance):
         return searcher.id, searcher.born, id(instance.lifetime)
 
-    def said_leaving(self, searcher, instance, now):
-        if instance is not None:
-            key = self.key(searcher, instance)
-            self.leaving.setdefault(key, []).append(now)
+    def concerns(self, searcher):
+        return searcher.id in self.concerned
+
+    def answers_leaving(self, searcher, instance, attempt):
+        """An answer says that its searcher leaves. Whether the instance reads
+        it shows once a caller gets it."""
+        self.concerned.add(searcher.id)
+        self.told[attempt, searcher.id] = instance
+
+    def refuses_leaving(self, searcher, instance, now):
+        self.concerned.add(searcher.id)
+        if instance is None:
+            return
+        key = self.key(searcher, instance)
+        self.refusals[key] = self.refusals.get(key, 0) + 1
+        if self.refusals[key] > UNHEARD_REFUSALS:
+            self.leaving.setdefault(key, now)
+
+    def passed_on(self, searcher, instance, attempt, now):
+        """A caller has got the searcher's answer from an instance, which may
+        have it from another one."""
+        if (attempt, searcher.id) not in self.told or not searcher.announces:
+            return
+        for each in (instance, self.told[attempt, searcher.id]):
+            if each is not None:
+                self.leaving.setdefault(self.key(searcher, each), now)
 
     def asked_for_pause(self, searcher, instance, now, seconds):
+        self.concerned.add(searcher.id)
         if instance is None:
             return
         key = self.key(searcher, instance)
@@ -42,17 +69,18 @@
             begin, self.early[key] = now + PAUSE_SLACK_S, 0
         self.pauses[key] = begin, max(until, now + seconds)
 
-    def arrived(self, searcher, instance, attempt, sent_s, now):
+    def arrived(self, searcher, instance, attempt, now):
         if instance is None:
             return
+        sent_s = self.sent_s.get(attempt, now)
         key = self.key(searcher, instance)
-        said = self.leaving.get(key, [])[UNHEARD_ANSWERS:]
-        if (said and sent_s > said[0] + self.drain_timeout_s
-                and instance.woken_s < said[0]):
+        said_s = self.leaving.get(key)
+        if (said_s is not None and sent_s > said_s + self.drain_timeout_s
+                and instance.woken_s < said_s):
             self.record_violation(
                 "upstreams that say they leave get no new work",
                 f"{attempt} at {searcher.id} from {instance.name} "
-                f"{now - said[0]:.1f} s later")
+                f"{now - said_s:.1f} s later")
         begin, until = self.pauses.get(key, (0, 0))
         if begin < now < until and instance.woken_s < begin - PAUSE_SLACK_S:
             self.early[key] = self.early.get(key, 0) + 1
--- a/tests/soak/searcher.py
+++ b/tests/soak/searcher.py
@@ -5,6 +5,7 @@
 import random
 
 from .answers import cut_answer, whole_answer
+from .connection_owner import owner_of
 from .http_text import answer, read_message, reset
 
 RECORD_BYTES = 16
@@ -41,6 +42,7 @@
         self.fault_mode = None
         self.server = None
         self.writers = set()
+        self.senders = {}  # connection -> instance
         self.born = 1700000000000 + port
         self.sequence = 1
         self.announces = False   # says in all its answers that it leaves
@@ -72,6 +74,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.senders.pop(writer, None)
             writer.close()
 
     async def exchange(self, message, writer):
@@ -80,21 +83,24 @@
             writer.write(answer(421))
             return True
         now = asyncio.get_running_loop().time()
+        sender = self.sender(writer)
         self.ledger.record_arrival(self, attempt, now)
+        self.ledger.notices.arrived(self, sender, attempt, now)
         full = self.in_flight >= self.max_concurrency + self.queue
         if full or self.fault_mode == "shed" or self.retry_after is not None:
-            writer.write(self.refusal(attempt, now))
+            writer.write(self.refusal(sender, now))
             return True
         self.in_flight += 1
         try:
             async with self.slots:
                 self.ledger.record_run(self, attempt, message, now)
                 if not await self.work(message, attempt, now):
-                    writer.write(answer(504, fields=self.stamps(attempt)))
+                    writer.write(answer(504, fields=self.stamps(attempt)
+                                        + self.notice(sender, attempt)))
                     return True
         finally:
             self.in_flight -= 1
-        return self.respond(attempt, writer)
+        return self.respond(attempt, sender, writer)
 
     async def work(self, message, attempt, arrived_s):
         """Works on a request; returns whether its time budget sufficed."""
@@ -107,31 +113,42 @@
         await asyncio.sleep(spent_s)
         return work_s <= left_s
 
-    def refusal(self, attempt, now):
-        fields = [("Papayaglade-Not-Executed", 1), *self.notice(attempt)]
+    def sender(self, writer):
+        """Returns the instance that sent what a connection brings, if it
+        matters what this searcher has said to it."""
+        if writer not in self.senders:
+            if not (self.announces or self.retry_after is not None
+                    or self.ledger.notices.concerns(self)):
+                return None
+            self.senders[writer] = owner_of(writer, self.ledger.instances)
+        return self.senders[writer]
+
+    def refusal(self, sender, now):
+        fields = [("Papayaglade-Not-Executed", 1)]
+        if self.announces:
+            fields.append(("Server-Leaving", 1))
+            self.ledger.notices.refuses_leaving(self, sender, now)
         if self.retry_after is not None:
             fields.append(("Retry-After", self.retry_after))
         if isinstance(self.retry_after, (int, float)):
-            self.ledger.notices.asked_for_pause(
-                self, self.ledger.senders.get(attempt), now, self.retry_after)
+            self.ledger.notices.asked_for_pause(self, sender, now,
+                                                self.retry_after)
         return answer(503, fields=fields)
 
-    def notice(self, attempt):
+    def notice(self, sender, attempt):
         if not self.announces:
             return []
-        self.ledger.notices.said_leaving(
-            self, self.ledger.senders.get(attempt),
-            asyncio.get_running_loop().time())
+        self.ledger.notices.answers_leaving(self, sender, attempt)
         return [("Server-Leaving", 1)]
 
     def stamps(self, attempt):
         return [("Papayaglade-Attempt-Id", attempt),
-                ("Papayaglade-Server-Stamp", stamp_of(self.id, attempt)),
-                *self.notice(attempt)]
+                ("Papayaglade-Server-Stamp", stamp_of(self.id, attempt))]
 
-    def respond(self, attempt, writer):
+    def respond(self, attempt, sender, writer):
         """Writes an answer; returns whether the connection stays open."""
-        body, fields = records_of(self.id, attempt), self.stamps(attempt)
+        body = records_of(self.id, attempt)
+        fields = self.stamps(attempt) + self.notice(sender, attempt)
         draw = self.random.random()
         if self.fault_mode == "cut" and draw < .5:
             text, by_reset = cut_answer(body, fields, self.random)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -69,11 +69,19 @@
         self.generation += 1
         names = [f"shard-{self.generation}-{i}"
                  for i in range(self.shard_count)]
-        for name in names:
-            for zone in ZONES:
+        for i, name in enumerate(names):
+            for zone in self.zones_of(i):
                 await self.add_searcher(name, zone)
         return names
 
+    @staticmethod
+    def zones_of(shard):
+        """Half of the shards have searchers in one zone only, so that
+        instances of the other one hand them over."""
+        if shard % 4 < 2:
+            return ZONES
+        return [ZONES[shard // 4 % len(ZONES)]] * len(ZONES)
+
     async def publish(self):
         self.version += self.random.randint(1, 3)
         self.ledger.shard_sets.append(list(self.shards))
@@ -187,6 +195,7 @@
         await self.publish()
         self.instances = [Instance(f"entry-{i}", ZONES[i % 2], self)
                           for i in range(self.instance_count)]
+        self.ledger.instances = self.instances
         relays = {each.ports["control"]: each.control_relay.port
                   for each in self.instances}
         self.store.control_ports = relays
--- a/tests/unit/store_mirror_test.cc
+++ b/tests/unit/store_mirror_test.cc
@@ -28,7 +28,7 @@
   mirrored_instance(loop_context& loop, const endpoint& store,
                     const std::string& name, bool sharing,
                     std::vector<std::string> seeds = {})
-      : log_(loop) {
+      : log_(loop), links_(loop) {
     entry_settings settings;
     settings.name = name;
     settings.data_centre = "kigali";
@@ -36,7 +36,7 @@
     settings.store = store;
     settings.seeds = std::move(seeds);
     mirror = std::make_unique<store_mirror>(
-        loop, format_, log_, settings, sharing,
+        loop, format_, log_, links_, settings, sharing,
         store_mirror::handlers{
             [this](stored_kind kind, const auto& objects) {
               if (kind == stored_kind::kUpstreams) UpdateUpstreams(objects);
@@ -74,6 +74,7 @@
 
   platform::platform_store_format format_;
   structured_log log_;
+  instance_links links_;
 };
 
 using instance_list = std::vector<std::unique_ptr<mirrored_instance>>;
--- a/tests/unit/upstream_directory_test.cc
+++ b/tests/unit/upstream_directory_test.cc
@@ -280,8 +280,8 @@
           "[directory]") {
   upstream_directory directory = MakeDirectory();
   directory.SetFleet({7, 0});
-  CHECK(directory.ConnectionShare(kService).preferred == 2);
-  CHECK(directory.ConnectionShare(kService).maximum == 4);
+  CHECK(directory.ConnectionShare(kService, "huye").preferred == 2);
+  CHECK(directory.ConnectionShare(kService, "huye").maximum == 4);
   observed_health& health = KnownUpstream(directory, "a").health;
   for (int i = 0; i < 2; ++i) health.BeginAttempt(kStart, seconds(1));
   CHECK(ChosenId(directory, kStart) == "b");
@@ -289,8 +289,8 @@
   for (int i = 0; i < 2; ++i) health.BeginAttempt(kStart, seconds(1));
   CHECK(ChosenId(directory, kStart, {"b"}).empty());
   directory.SetFleet({77, 0});
-  CHECK(directory.ConnectionShare(kService).maximum == 1);
-  CHECK(directory.ConnectionShare("unknown").maximum == 1);
+  CHECK(directory.ConnectionShare(kService, "huye").maximum == 1);
+  CHECK(directory.ConnectionShare("unknown", "huye").maximum == 1);
 }
 
 // Guards against exceeding the connection limit of upstreams after all
@@ -304,7 +304,7 @@
       directory.SetConfiguration(MakeConfiguration(limit, 0));
       directory.SetFleet({instances, 0});
       const std::size_t held =
-          instances * directory.ConnectionShare(kService).preferred;
+          instances * directory.ConnectionShare(kService, "huye").preferred;
       CHECK(2 * held <= limit);
     }
   }
--- a/tests/unit/upstream_notice_test.cc
+++ b/tests/unit/upstream_notice_test.cc
@@ -110,7 +110,8 @@
     CHECK_FALSE(tier.Chosen(now).empty());
   }
   SECTION("however many attempts are pending at the others") {
-    const auto preferred = tier.directory.ConnectionShare(kService).preferred;
+    const auto preferred =
+        tier.directory.ConnectionShare(kService, "huye").preferred;
     for (const char* each : {"archive-1", "archive-2"}) {
       for (std::size_t i = 0; i < preferred; ++i)
         tier.Known(each).health.BeginAttempt(kStart, seconds(1));
