Look for the senders of requests without holding up the soak

A soak of pauses, four beside each other, counted requests without an answer and too few answers after the faults (turn_away 5, announce_leaving 5): the logs have their answers after 0.99 s and copies of the store 2 to 6 s old, as the look for the process behind each connection held up the stand-ins, which share one loop.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from .connection_owner import ConnectionOwners
 from .notices import Notices
 from .searcher import RECORD_BYTES, records_of, stamp_of
 
@@ -32,7 +33,7 @@
         self.shard_sets = []    # every set of shards that has been in force
         self.violations = []
         self.sent_s = {}        # attempt -> time at which its caller sent it
-        self.instances = []
+        self.owners = ConnectionOwners()
         self.notices = Notices(drain_timeout_s, self.sent_s,
                                self.record_violation)
         self.counts = {}
--- a/tests/soak/searcher.py
+++ b/tests/soak/searcher.py
@@ -5,7 +5,6 @@
 import random
 
 from .answers import cut_answer, whole_answer
-from .connection_owner import owner_of
 from .http_text import answer, read_message, reset
 
 RECORD_BYTES = 16
@@ -116,12 +115,15 @@
     def sender(self, writer):
         """Returns the instance that sent what a connection brings, if it
         matters what this searcher has said to it."""
-        if writer not in self.senders:
-            if not (self.announces or self.retry_after is not None
-                    or self.ledger.notices.concerns(self)):
-                return None
-            self.senders[writer] = owner_of(writer, self.ledger.instances)
-        return self.senders[writer]
+        if writer in self.senders:
+            return self.senders[writer]
+        if not (self.announces or self.retry_after is not None
+                or self.ledger.notices.concerns(self)):
+            return None
+        sender = self.ledger.owners.owner_of(writer)
+        if sender is not None:
+            self.senders[writer] = sender
+        return sender
 
     def refusal(self, sender, now):
         fields = [("Papayaglade-Not-Executed", 1)]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -195,7 +195,7 @@
         await self.publish()
         self.instances = [Instance(f"entry-{i}", ZONES[i % 2], self)
                           for i in range(self.instance_count)]
-        self.ledger.instances = self.instances
+        self.ledger.owners.instances = self.instances
         relays = {each.ports["control"]: each.control_relay.port
                   for each in self.instances}
         self.store.control_ports = relays
