--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -1,6 +1,7 @@
 #include "app/entry_service.h"
 
 #include <utility>
+#include <vector>
 
 #include "app/active_request.h"
 
@@ -199,18 +200,16 @@
   for (const auto& each : all) each->FinishNow();
 }
 
-// A request in progress shows that one like it may take as long as it has.
 bool entry_service::MayTakeWhileStopping(const active_request& request) const {
   const monotonic_time now = loop_context::Now();
-  auto longest =
-      durations_.Longest(request.Route().name, request.Route().idempotent, now);
+  const route& target = request.Route();
+  std::vector<milliseconds> in_progress;
   for (const auto& each : active_) {
-    if (!longest.has_value()) break;
-    if (each->Route().name != request.Route().name) continue;
-    longest->Add(each->Age());
+    if (each->Route().name == target.name) in_progress.push_back(each->Age());
   }
   return stop_->MayTake(
-      TimeNeeded(longest, request.Route().idempotent, request.TimeAllowed()),
+      durations_.TimeNeededNext(target.name, target.idempotent,
+                                request.TimeAllowed(), in_progress, now),
       now);
 }
 
--- a/src/coordination/query_engine.cc
+++ b/src/coordination/query_engine.cc
@@ -197,19 +197,19 @@
   durations_.Add(request.workload, Since(request.start, now), now);
 }
 
-// A request in progress shows that one like it may take as long as it has.
 bool query_engine::MayTakeWhileStopping(const query_spec& spec,
                                         monotonic_time now) const {
   const workload& work = *spec.route.work;
-  auto longest = durations_.Longest(work.name, work.repeatable, now);
+  std::vector<std::chrono::milliseconds> in_progress;
   for (const auto& each : open_requests_) {
-    if (!longest.has_value()) break;
     const open_request& other = each.second;
-    if (other.is_answered || other.workload != work.name) continue;
-    longest->Add(Since(other.start, now));
+    if (!other.is_answered && other.workload == work.name)
+      in_progress.push_back(Since(other.start, now));
   }
-  const auto allowed = Since(now, spec.deadline);
-  return stop_->MayTake(TimeNeeded(longest, work.repeatable, allowed), now);
+  return stop_->MayTake(
+      durations_.TimeNeededNext(work.name, work.repeatable,
+                                Since(now, spec.deadline), in_progress, now),
+      now);
 }
 
 workload_state& query_engine::StateOf(const workload& work) {
--- a/src/coordination/route_durations.cc
+++ b/src/coordination/route_durations.cc
@@ -65,6 +65,16 @@
   return recent.longest;
 }
 
+milliseconds route_durations::TimeNeededNext(
+    const std::string& route, bool idempotent, milliseconds allowed,
+    const std::vector<milliseconds>& in_progress, monotonic_time now) const {
+  auto longest = Longest(route, idempotent, now);
+  if (longest.has_value()) {
+    for (const milliseconds each : in_progress) longest->Add(each);
+  }
+  return TimeNeeded(longest, idempotent, allowed);
+}
+
 milliseconds TimeNeeded(const std::optional<longest_durations>& longest,
                         bool idempotent, milliseconds allowed) {
   if (!longest.has_value()) return allowed;
--- a/src/coordination/route_durations.h
+++ b/src/coordination/route_durations.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "state/time.h"
 
@@ -32,6 +33,14 @@
   std::optional<longest_durations> Longest(const std::string& route,
                                            bool idempotent,
                                            monotonic_time now) const;
+  /// Returns the time that the next request of `route` may need, of the
+  /// `allowed` time at most. A request in progress, of an age in `in_progress`,
+  /// shows that one like it may take as long as it has.
+  std::chrono::milliseconds TimeNeededNext(
+      const std::string& route, bool idempotent,
+      std::chrono::milliseconds allowed,
+      const std::vector<std::chrono::milliseconds>& in_progress,
+      monotonic_time now) const;
 
  private:
   /// The requests of one span of time.
--- a/src/protocol/cbor_message.cc
+++ b/src/protocol/cbor_message.cc
@@ -143,6 +143,11 @@
   return bytes;
 }
 
+bool ReadCbor(const std::string& bytes, nlohmann::json_sax<json>& events) {
+  return depth_check(bytes).IsBounded() &&
+         json::sax_parse(bytes, &events, json::input_format_t::cbor);
+}
+
 std::optional<json> DecodeCbor(const std::string& bytes) {
   // The decoder recurses once for each level.
   if (!depth_check(bytes).IsBounded()) return std::nullopt;
--- a/src/protocol/cbor_message.h
+++ b/src/protocol/cbor_message.h
@@ -18,6 +18,12 @@
 /// malformed or nested too deeply.
 std::optional<nlohmann::json> DecodeCbor(const std::string& bytes);
 
+/// Reads the CBOR document in `bytes` and calls `events` for each value.
+/// Returns false if the document is malformed or nested too deeply, or if a
+/// call returns false.
+bool ReadCbor(const std::string& bytes,
+              nlohmann::json_sax<nlohmann::json>& events);
+
 /// Decodes the CBOR array in `bytes` and returns what `decode` returns for it.
 /// Returns an empty result if `bytes` is not a non-empty array or `decode`
 /// throws a std::exception. `Result` is a std::optional.
