Take over a revision from another copy only with the same objects

A source's report moved a follower's copy on to the source's revision whatever it held. The digest that comes with each position is compared now; a copy that lacks something asks for it.

Test "a report of another copy hides no change that is still to come": 5 assertions fail without the comparison.

--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -341,13 +341,15 @@
   const monotonic_time now = loop_context::Now();
   selector_.OnReport(source->second, report.state, now);
   if (report.state == source_state::kWatching) last_answer_ = now;
+  bool lacks_changes = false;
   for (const mirror_position& each : report.positions) {
     const std::size_t kind = IndexOf(each.kind);
     if (kind == kinds_.size()) continue;
     mirrored_kind& own = kinds_[kind];
-    own.objects.AdvanceRevision(each.revision);
+    if (!own.objects.AdvanceTo(each)) lacks_changes = true;
     if (own.objects.IsComplete()) own.feed.SkipTo(own.objects.Revision());
   }
+  if (lacks_changes) Subscribe(link);
   UpdateSources(now);
 }
 
--- a/src/coordination/object_mirror.cc
+++ b/src/coordination/object_mirror.cc
@@ -97,12 +97,17 @@
   }
 }
 
-void object_mirror::AdvanceRevision(std::int64_t revision) {
+// Without a look at the objects, changes that are still to come would be taken
+// for old ones.
+bool object_mirror::AdvanceTo(const mirror_position& position) {
+  if (!complete_ || position.revision <= revision_) return true;
+  if (position.digest != digest_) return false;
   mirror_page nothing;
   nothing.kind = kind_;
   nothing.from = revision_;
-  nothing.to = revision;
+  nothing.to = position.revision;
   Apply(nothing);
+  return true;
 }
 
 std::optional<mirror_page> object_mirror::PageSince(
--- a/src/coordination/object_mirror.h
+++ b/src/coordination/object_mirror.h
@@ -24,8 +24,9 @@
   /// does not apply: changes after a gap, or a difference to another copy.
   std::optional<std::vector<mirrored_object>> Apply(const mirror_page& page);
 
-  /// Moves on to `revision`, up to which nothing changed.
-  void AdvanceRevision(std::int64_t revision);
+  /// Moves on to `position`, the one of another copy, if this copy has the same
+  /// objects. Returns false if it lacks changes up to that position.
+  bool AdvanceTo(const mirror_position& position);
 
   /// Returns what a copy at `position` lacks, or nothing if it lacks nothing.
   std::optional<mirror_page> PageSince(const mirror_position& position) const;
--- a/tests/unit/object_mirror_test.cc
+++ b/tests/unit/object_mirror_test.cc
@@ -81,13 +81,51 @@
         std::map<std::string, bool>{{"b", false}, {"c", true}, {"d", false}});
 }
 
+// Guards against a configuration that a follower never learns: the page that
+// has it does not apply, since it starts after a gap, and a report of the
+// source, which comes before the answer to the new subscription, names a
+// revision beyond it.
+TEST_CASE("a report of another copy hides no change that is still to come",
+          "[mirror]") {
+  object_mirror source = MirrorOf({{"a", false, "1"}}, 10);
+  object_mirror follower = MirrorOf({{"a", false, "1"}}, 10);
+  source.Apply(Page(10, 11, {{"a", false, "2"}}));
+  const mirror_position asked = follower.Position();
+  const auto answer = source.PageSince(asked);
+  REQUIRE(answer.has_value());
+  // This page comes without the one before it.
+  CHECK_FALSE(follower.Apply(Page(11, 12, {{"b", false, "1"}})).has_value());
+  source.Apply(Page(11, 12, {{"b", false, "1"}}));
+  CHECK_FALSE(follower.AdvanceTo(source.Position()));
+  CHECK(follower.Revision() == 10);
+  CHECK(follower.Apply(*answer).has_value());
+  CHECK_FALSE(follower.AdvanceTo(source.Position()));
+  const auto rest = source.PageSince(follower.Position());
+  REQUIRE(rest.has_value());
+  CHECK(follower.Apply(*rest).has_value());
+  CHECK(follower.Digest() == source.Digest());
+  CHECK(follower.AdvanceTo(source.Position()));
+}
+
+TEST_CASE("a copy moves on where nothing has changed", "[mirror]") {
+  object_mirror mirror = MirrorOf({{"a", false, "1"}}, 10);
+  CHECK(mirror.AdvanceTo({kKind, 15, mirror.Digest()}));
+  CHECK(mirror.Revision() == 15);
+  CHECK(mirror.AdvanceTo({kKind, 12, 0}));  // It is ahead.
+  CHECK(mirror.Revision() == 15);
+  object_mirror empty(kKind);
+  CHECK(empty.AdvanceTo({kKind, 15, 0}));
+  CHECK_FALSE(empty.IsComplete());
+  CHECK(empty.Revision() == 0);
+}
+
 TEST_CASE("a copy that is a little behind gets changes, others get all objects",
           "[mirror]") {
   object_mirror mirror = MirrorOf({{"a", false, "1"}}, 10);
   CHECK_FALSE(mirror.PageSince({kKind, 10, 0}).has_value());
   CHECK(mirror.PageSince({kKind, 9, 0})->content == page_content::kWhole);
   mirror.Apply(Page(10, 11, {{"b", false, "1"}}));
-  mirror.AdvanceRevision(15);
+  CHECK(mirror.AdvanceTo({kKind, 15, mirror.Digest()}));
   CHECK(mirror.Revision() == 15);
   mirror.Apply(Page(15, 16, {{"c", false, "1"}}));
   const auto since = mirror.PageSince({kKind, 12, 0});
