--- a/src/coordination/relay_run.h
+++ b/src/coordination/relay_run.h
@@ -47,7 +47,6 @@
   monotonic_time NextTimer() const;
   /// Returns whether no leg awaits a result or a reply.
   bool IsDone() const { return open_.empty() && parts_.empty(); }
-  std::uint64_t Id() const { return request_.id; }
 
  private:
   /// A leg that awaits its result.
