--- a/review/standins-2/tier2.py
+++ b/review/standins-2/tier2.py
@@ -537,15 +537,19 @@
 
 
 async def play(folder, case):
+    # An end from outside must not leave processes behind.
+    this_task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, this_task.cancel)
     with tempfile.TemporaryDirectory() as temporary:
         tier = Tier(folder, temporary)
         try:
             async with asyncio.timeout(110):
                 await tier.store.start()
                 faults = await case(tier)
-        except (CannotRun, TimeoutError) as failed:
-            tier.record(f"could not run: {failed}")
-            print("could not run:", failed)
+        except (CannotRun, TimeoutError, asyncio.CancelledError) as failed:
+            tier.record(f"could not run: {failed!r}")
+            print(f"could not run: {failed!r}")
             return 2
         finally:
             await tier.end()
