--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,6 +15,7 @@
 # A little more than the searcher can do, so that it sheds some requests.
 REQUEST_GAP_S = 1 / 110
 REQUESTS = 7000
+SEND_S = 85.0  # at most
 EXTRA_SHARE = 0.04  # of the answers that come a second time
 SEED = 7
 
@@ -73,7 +74,10 @@
         seen[attempt] = await tier.request(entry, attempt, "/book/x", "POST",
                                            body=b"one booking")
 
+    began = tier.record.now()
     for i in range(REQUESTS):
+        if tier.record.now() > began + SEND_S:
+            break
         tier.spawn(book(f"a-{i}"))
         await asyncio.sleep(REQUEST_GAP_S)
     await asyncio.sleep(6)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,8 +8,8 @@
 import pathlib
 import sys
 
-if sys.version_info < (3, 11):
-    sys.exit("Python 3.11 or newer is needed")
+if sys.version_info < (3, 8):
+    sys.exit("Python 3.8 or newer is needed")
 folders = ["standins-2", "6", "7", "8", "9", "10"]
 for folder in folders:
     for path in sorted(pathlib.Path(folder).glob("*.py")):
