Send a rejected request again on another connection only

A searcher sent a second copy of a rejection late, where the answer to the next request on the connection is due. All attempts of a request bear the caller's id, and the retry took the very connection on which the rejection had come, so the copy was taken for its answer.

A connection now knows which requests it has carried that may be sent again, until their deadline; a retry takes another one. The id then tells each copy that can arrive from the answer that is due.

--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -20,6 +20,10 @@
 // time, because all instances share the upstream's connection limit.
 constexpr std::chrono::seconds kMaxSpareIdle{2};
 
+bool IsUsable(const http_exchange_channel& channel, monotonic_time now) {
+  return channel.IsReusable() && channel.IdleDeadline() > now;
+}
+
 std::chrono::microseconds SilenceTimeout(
     std::chrono::microseconds usual_latency) {
   return std::max<std::chrono::microseconds>(kMinSilenceTimeout,
@@ -49,13 +53,14 @@
   started.start_time = spec.upstream->health.BeginAttempt(
       now, SilenceTimeout(started.usual_latency));
   started.fanout = std::holds_alternative<fanout_target>(spec.target->target);
-  started.channel = AcquireChannel(spec.upstream);
+  started.deadline = now + spec.time_left;
+  started.carrier = AcquireConnection(spec.upstream, spec.request->id);
   directory_.CountSent(*spec.upstream, now);
   ++totals_.sent;
   std::string text = wire_.EncodeAttempt(*spec.request, spec.time_left,
                                          spec.upstream->record.id);
   const bool is_head = spec.request->method == "HEAD";
-  const channel_pointer channel = started.channel;
+  const channel_pointer channel = started.carrier.channel;
   started.spec = std::move(spec);
   exchanges_.emplace(number, std::move(started));
   channel->Exchange(std::move(text), is_head,
@@ -67,7 +72,8 @@
 
 bool upstream_client::IsConnected(id exchange) const {
   const auto found = exchanges_.find(exchange);
-  return found != exchanges_.end() && found->second.channel->IsConnected();
+  return found != exchanges_.end() &&
+         found->second.carrier.channel->IsConnected();
 }
 
 void upstream_client::Abandon(id number) {
@@ -86,39 +92,55 @@
 void upstream_client::CloseUnusedConnections() {
   const monotonic_time now = loop_context::Now();
   for (auto each = pools_.begin(); each != pools_.end();) {
-    std::vector<channel_pointer>& idle = each->second.idle;
+    std::vector<connection>& idle = each->second.idle;
     const bool gone = !directory_.Contains(each->second.upstream);
-    const channel_pointer newest = idle.empty() ? nullptr : idle.back();
-    const auto usable = [&](const channel_pointer& channel) {
+    const channel_pointer newest = idle.empty() ? nullptr : idle.back().channel;
+    const auto usable = [&](const connection& kept) {
+      const http_exchange_channel& channel = *kept.channel;
       const bool spare =
-          channel != newest && now - channel->LastUsed() > kMaxSpareIdle;
-      return !gone && !spare && channel->IsReusable() &&
-             channel->IdleDeadline() > now;
+          kept.channel != newest && now - channel.LastUsed() > kMaxSpareIdle;
+      return !gone && !spare && IsUsable(channel, now);
     };
     const auto end = std::stable_partition(idle.begin(), idle.end(), usable);
-    for (auto ended = end; ended != idle.end(); ++ended) (*ended)->Close();
+    for (auto ended = end; ended != idle.end(); ++ended)
+      ended->channel->Close();
     idle.erase(end, idle.end());
     each = idle.empty() ? pools_.erase(each) : std::next(each);
   }
 }
 
-upstream_client::channel_pointer upstream_client::AcquireChannel(
-    const upstream_pointer& upstream) {
+upstream_client::connection upstream_client::AcquireConnection(
+    const upstream_pointer& upstream, const std::string& request_id) {
+  std::optional<connection> kept = TakeIdleConnection(upstream, request_id);
+  if (kept.has_value()) return std::move(*kept);
+  ++totals_.connected;
+  return {std::make_shared<http_exchange_channel>(
+              loop_, upstream->record.address, kConnectTimeout),
+          {}};
+}
+
+std::optional<upstream_client::connection> upstream_client::TakeIdleConnection(
+    const upstream_pointer& upstream, const std::string& request_id) {
   const auto found = pools_.find(upstream.get());
-  if (found != pools_.end()) {
-    std::vector<channel_pointer>& idle = found->second.idle;
-    while (!idle.empty()) {
-      channel_pointer last = std::move(idle.back());
-      idle.pop_back();
-      if (last->IsReusable() && last->IdleDeadline() > loop_context::Now()) {
-        return last;
-      }
-      last->Close();
-    }
+  if (found == pools_.end()) return std::nullopt;
+  std::vector<connection>& idle = found->second.idle;
+  const monotonic_time now = loop_context::Now();
+  for (auto next = idle.size(); next > 0; --next) {
+    const auto each = idle.begin() + static_cast<std::ptrdiff_t>(next - 1);
+    const bool usable = IsUsable(*each->channel, now);
+    if (usable && each->repeatable.Contains(request_id)) continue;
+    connection taken = std::move(*each);
+    idle.erase(each);
+    if (usable) return taken;
+    taken.channel->Close();
   }
-  ++totals_.connected;
-  return std::make_shared<http_exchange_channel>(
-      loop_, upstream->record.address, kConnectTimeout);
+  // The connection that is opened instead takes the place of one of these, so
+  // that the share of the upstream's connections is kept.
+  if (!idle.empty()) {
+    idle.front().channel->Close();
+    idle.erase(idle.begin());
+  }
+  return std::nullopt;
 }
 
 void upstream_client::OnResult(id number,
@@ -145,9 +167,9 @@
     // can be trusted.
     if (outcome.end == attempt_end::kBroken ||
         outcome.end == attempt_end::kOtherUpstream) {
-      ended.channel->Close();
+      ended.carrier.channel->Close();
     } else {
-      ReturnChannel(ended.spec.upstream, ended.channel);
+      ReturnConnection(ended, outcome.end);
     }
   }
   ++totals_.ends[outcome.end];
@@ -219,12 +241,17 @@
       });
 }
 
-void upstream_client::ReturnChannel(const upstream_pointer& upstream,
-                                    channel_pointer channel) {
-  if (!channel->IsReusable()) return channel->Close();
-  pool& upstream_pool = pools_[upstream.get()];
-  upstream_pool.upstream = upstream;
-  upstream_pool.idle.push_back(std::move(channel));
+void upstream_client::ReturnConnection(exchange& ended, attempt_end end) {
+  connection& carrier = ended.carrier;
+  const bool is_known =
+      end == attempt_end::kAnswered ||
+      carrier.repeatable.Add(ended.spec.request->id, ended.deadline,
+                             loop_context::Now());
+  if (!is_known || !carrier.channel->IsReusable())
+    return carrier.channel->Close();
+  pool& upstream_pool = pools_[ended.spec.upstream.get()];
+  upstream_pool.upstream = ended.spec.upstream;
+  upstream_pool.idle.push_back(std::move(carrier));
 }
 
 void upstream_client::CancelAbandoned(id number) {
@@ -232,7 +259,7 @@
   if (found == exchanges_.end()) return;
   const exchange abandoned = std::move(found->second);
   exchanges_.erase(found);
-  abandoned.channel->Close();
+  abandoned.carrier.channel->Close();
   const monotonic_time now = loop_context::Now();
   const auto age = now - abandoned.start_time;
   observed_health& health = abandoned.spec.upstream->health;
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -6,12 +6,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "coordination/attempt_policy.h"
+#include "coordination/repeatable_requests.h"
 #include "coordination/upstream_directory.h"
 #include "protocol/entry_wire_format.h"
 #include "transport/http_exchange_channel.h"
@@ -86,17 +88,31 @@
 
  private:
   using channel_pointer = std::shared_ptr<http_exchange_channel>;
+  struct connection {
+    channel_pointer channel;
+    /// A repeat of these must take another connection: a late copy of the
+    /// answer to the request would be taken for the answer to the repeat.
+    repeatable_requests repeatable;
+  };
   struct exchange {
     attempt_spec spec;
-    channel_pointer channel;
+    connection carrier;
     handler done;  ///< Result handler; empty if the attempt was abandoned.
     monotonic_time start_time;
+    /// Time after which the request is not sent again.
+    monotonic_time deadline;
     /// Usual latency of the route.
     std::chrono::microseconds usual_latency{0};
     bool fanout = false;  ///< The route targets a fanout service.
   };
 
-  channel_pointer AcquireChannel(const upstream_pointer& upstream);
+  /// Returns a connection that has not carried the request.
+  connection AcquireConnection(const upstream_pointer& upstream,
+                               const std::string& request_id);
+  /// Takes such a connection from the idle ones. If there is none, closes one
+  /// of the others.
+  std::optional<connection> TakeIdleConnection(const upstream_pointer& upstream,
+                                               const std::string& request_id);
   void OnResult(id number, http_exchange_channel::result result);
   void RecordHealth(const exchange& ended, attempt_end end);
   /// Applies and returns what the upstream says about itself in the head of its
@@ -106,7 +122,8 @@
   /// Reports a contact with the upstream, or the loss of one, to
   /// `reachability_`.
   void RecordPath(const exchange& ended, bool contact);
-  void ReturnChannel(const upstream_pointer& upstream, channel_pointer channel);
+  /// Keeps the connection of an exchange that ended with an answer.
+  void ReturnConnection(exchange& ended, attempt_end end);
   /// Closes an abandoned exchange that has not completed and records what that
   /// says about the upstream.
   void CancelAbandoned(id number);
@@ -124,7 +141,7 @@
   /// Each pool keeps its upstream alive, so that the key is not reused.
   struct pool {
     upstream_pointer upstream;
-    std::vector<channel_pointer> idle;
+    std::vector<connection> idle;
   };
   std::unordered_map<const known_upstream*, pool> pools_;
   silence_handler on_silent_;
