Close a connection after an answer that names no request

The test "a late copy that names no request does not answer another one" failed before (not run instead of answered).

--- a/src/state/entry_messages.h
+++ b/src/state/entry_messages.h
@@ -64,6 +64,9 @@
   upstream_response reply;  ///< Set for kAnswered and kFailedAnswer.
   const char* why = "";     ///< Reason for logs; empty for kAnswered.
   upstream_notice notice;   ///< What the upstream said about itself.
+  /// The answer names its request, so that a late copy of it can be told from
+  /// the answer to another request.
+  bool names_request = false;
 };
 
 /// The caller gets the upstream's own answer.
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -169,7 +169,7 @@
         outcome.end == attempt_end::kOtherUpstream) {
       ended.carrier.channel->Close();
     } else {
-      ReturnConnection(ended, outcome.end);
+      ReturnConnection(ended, outcome);
     }
   }
   ++totals_.ends[outcome.end];
@@ -241,14 +241,17 @@
       });
 }
 
-void upstream_client::ReturnConnection(exchange& ended, attempt_end end) {
+void upstream_client::ReturnConnection(exchange& ended,
+                                       const attempt_result& outcome) {
   connection& carrier = ended.carrier;
-  const bool is_known =
-      end == attempt_end::kAnswered ||
+  const bool keeps_repeats_apart =
+      outcome.end == attempt_end::kAnswered ||
       carrier.repeatable.Add(ended.spec.request->id, ended.deadline,
                              loop_context::Now());
-  if (!is_known || !carrier.channel->IsReusable())
+  if (!outcome.names_request || !keeps_repeats_apart ||
+      !carrier.channel->IsReusable()) {
     return carrier.channel->Close();
+  }
   pool& upstream_pool = pools_[ended.spec.upstream.get()];
   upstream_pool.upstream = ended.spec.upstream;
   upstream_pool.idle.push_back(std::move(carrier));
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -122,8 +122,9 @@
   /// Reports a contact with the upstream, or the loss of one, to
   /// `reachability_`.
   void RecordPath(const exchange& ended, bool contact);
-  /// Keeps the connection of an exchange that ended with an answer.
-  void ReturnConnection(exchange& ended, attempt_end end);
+  /// Keeps the connection of an exchange that ended with an answer, unless a
+  /// late copy of that answer could be taken for another one.
+  void ReturnConnection(exchange& ended, const attempt_result& outcome);
   /// Closes an abandoned exchange that has not completed and records what that
   /// says about the upstream.
   void CancelAbandoned(id number);
--- a/tests/unit/late_rejection_test.cc
+++ b/tests/unit/late_rejection_test.cc
@@ -30,7 +30,7 @@
 /// due.
 class rejecting_upstream {
  public:
-  enum class repeated { kNothing, kRejection };
+  enum class repeated { kNothing, kRejection, kUnnamedRejection };
 
   explicit rejecting_upstream(repeated what)
       : repeated_(what), acceptor_(io_, tcp::endpoint(tcp::v4(), 0)) {
@@ -84,11 +84,12 @@
     const std::string id = request.substr(begin, end - begin) + "\r\n";
     std::string answer = std::exchange(open.copy, "");
     if (std::exchange(rejects_, false)) {
+      const bool unnamed = repeated_ == repeated::kUnnamedRejection;
       answer +=
           "HTTP/1.1 503 Service Unavailable\r\nPapayaglade-Not-Executed: 1\r\n"
           "Content-Length: 0\r\n" +
-          id + "\r\n";
-      if (repeated_ == repeated::kRejection) open.copy = answer;
+          (unnamed ? "" : id) + "\r\n";
+      if (repeated_ != repeated::kNothing) open.copy = answer;
     } else {
       ++runs_;
       answer +=
@@ -178,6 +179,17 @@
   CHECK(upstream.Connections() == 2);
 }
 
+// Guards against a refusal that is not true: a late copy of an answer that
+// names no request was taken for the answer to whatever request came next.
+TEST_CASE("a late copy that names no request does not answer another one",
+          "[client][late]") {
+  rejecting_upstream upstream(rejecting_upstream::repeated::kUnnamedRejection);
+  single_upstream_tier tier(upstream.Port());
+  REQUIRE(tier.Send("a") == attempt_end::kNotRun);
+  CHECK(tier.Send("b") == attempt_end::kAnswered);
+  CHECK(upstream.Runs() == 1);
+}
+
 // Guards against memory that grows with the requests that a connection carries.
 TEST_CASE(
     "a connection remembers few requests, and none for longer than needed",
