Begin the drain time of an upstream when its leaving may have begun

The open connections to the store had gone silent. The instance learnt of the leaving 2.7 s after it, in time, and then took the searcher for a last resort for the whole 2.1 s of its drain time.

The drain time began with the news, however old that was.

Now it begins when this instance last knew all that the store had accepted of upstreams. An answer of the store confirms the copy; an answer that the store held confirms it until just before its changes; followers are told the age. So whatever delays the news takes the delay off. Entries that are missing after the store was unavailable still get the time in which they may be back.

The directories of two test files are told that their list is confirmed, as nothing else would know since when their upstreams leave.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -68,13 +68,16 @@
                        settings.cores},
                       reachability_),
         relay_server_(loop_, links_, directory_, upstream_client_),
-        mirror_(loop_, format, log_, links_, settings, CanFollow(),
-                {[this](stored_kind kind, const auto& objects) {
-                   applier_.OnChanges(kind, objects);
-                 },
-                 [this](const auto& members) {
-                   registry_.OnPeerMembers(members);
-                 }}),
+        mirror_(
+            loop_, format, log_, links_, settings, CanFollow(),
+            {[this](stored_kind kind, const auto& objects) {
+               applier_.OnChanges(kind, objects);
+             },
+             [this](const auto& members) { registry_.OnPeerMembers(members); },
+             [this](monotonic_time time) { directory_.ConfirmList(time); },
+             [this](monotonic_time time) {
+               directory_.OnStoreUnavailable(time);
+             }}),
         registry_(loop_, format, log_, settings.store,
                   {settings.name, settings.data_centre, settings.control,
                    settings.cores},
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds kRepeatedAnswerDelay{200};
 // Bounds the memory that one list takes.
 constexpr std::size_t kMaxListedObjects = 100'000;
+// An answer that took longer was held until there was a change.
+constexpr milliseconds kMinHeldTime{250};
 constexpr int kStatusOk = 200;
 constexpr int kStatusGone = 410;
 
@@ -45,7 +47,7 @@
 
 void store_feed::FailPendingWatch() {
   if (plan_.LastCallFailed() || plan_.IsListing() || pending_call_ == 0) return;
-  HandleFailure("suspected");
+  HandleFailure("suspected", failure_origin::kUnclear);
 }
 
 void store_feed::Resume() {
@@ -55,7 +57,8 @@
 }
 
 void store_feed::Call() {
-  if (channel_ == nullptr || !channel_->IsReusable()) {
+  on_new_connection_ = channel_ == nullptr || !channel_->IsReusable();
+  if (on_new_connection_) {
     channel_ =
         std::make_shared<http_exchange_channel>(loop_, store_, kConnectTimeout);
   }
@@ -65,7 +68,7 @@
   call_start_ = loop_context::Now();
   timeout_ = loop_.ScheduleAfter(next.timeout, [this](monotonic_time) {
     timeout_.reset();
-    HandleFailure("no answer");
+    HandleFailure("no answer", OriginOfSilence());
   });
   std::string request =
       next.is_list
@@ -80,10 +83,11 @@
 
 void store_feed::OnResult(const feed_plan::call& completed,
                           const http_exchange_channel::result& result) {
-  if (result.failure.has_value()) return HandleFailure(result.why);
+  if (result.failure.has_value())
+    return HandleFailure(result.why, OriginOfSilence());
   const auto status = static_cast<int>(result.message.result_int());
   if (status != kStatusOk && status != kStatusGone)
-    return HandleFailure("refused");
+    return HandleFailure("refused", failure_origin::kStore);
   if (status == kStatusGone) {
     RecordAnswer();
     log_.Write(structured_log::kind::kEvent,
@@ -102,8 +106,10 @@
 
 void store_feed::OnList(const std::string& body) {
   auto page = format_.DecodeList(kind_, body);
-  if (!page.has_value()) return HandleFailure("unreadable list");
+  if (!page.has_value())
+    return HandleFailure("unreadable list", failure_origin::kUnclear);
   RecordAnswer();
+  if (listed_objects_.empty()) list_start_ = call_start_;
   CountUnnamed(*page);
   for (stored_object& each : page->objects)
     listed_objects_.push_back(std::move(each));
@@ -115,13 +121,15 @@
   store_page full_page;
   full_page.objects = std::exchange(listed_objects_, {});
   full_page.revision = plan_.Revision();
-  handlers_.on_list(full_page);
+  handlers_.on_list(full_page, {list_start_, false});
 }
 
 void store_feed::OnEvents(const feed_plan::call& completed,
                           const std::string& body) {
   const auto page = format_.DecodeEvents(kind_, body);
-  if (!page.has_value()) return HandleFailure("unreadable events");
+  if (!page.has_value())
+    return HandleFailure("unreadable events", failure_origin::kUnclear);
+  const answer_time time = TimeOf(completed);
   RecordAnswer();
   CountUnnamed(*page);
   milliseconds delay = plan_.OnEvents(page->revision, page->objects.size());
@@ -130,7 +138,20 @@
     delay = std::max(delay, kRepeatedAnswerDelay);
   }
   ScheduleCall(delay);
-  handlers_.on_events(completed.revision, *page);
+  handlers_.on_events(completed.revision, *page, time);
+}
+
+// The answer may have waited for this process after the store gave it, but the
+// store gives it no later than the end of the wait.
+store_feed::answer_time store_feed::TimeOf(
+    const feed_plan::call& completed) const {
+  const monotonic_time at =
+      std::min(loop_context::Now(), call_start_ + completed.wait);
+  return {at, at - call_start_ >= kMinHeldTime};
+}
+
+store_feed::failure_origin store_feed::OriginOfSilence() const {
+  return on_new_connection_ ? failure_origin::kStore : failure_origin::kUnclear;
 }
 
 void store_feed::CountUnnamed(const store_page& page) {
@@ -145,7 +166,7 @@
                  .With("remedy", "remove the entries from the store"));
 }
 
-void store_feed::HandleFailure(const char* why) {
+void store_feed::HandleFailure(const char* why, failure_origin origin) {
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   timeout_.reset();
   pending_call_ = 0;
@@ -164,6 +185,8 @@
   } else {
     ScheduleCall(delay);
   }
+  if (origin == failure_origin::kStore && handlers_.on_unavailable)
+    handlers_.on_unavailable();
   if (first_failure && handlers_.on_lost) handlers_.on_lost();
 }
 
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -20,16 +20,29 @@
 /// has the history of that revision.
 class store_feed {
  public:
+  /// What an answer says about the age of its content.
+  struct answer_time {
+    /// The page holds all changes up to this time.
+    monotonic_time confirmed_at;
+    /// The store had no change to tell for most of the call, so that those of
+    /// the page have only just been made.
+    bool was_held = false;
+  };
   struct handlers {
     /// Receives all objects as of the revision of the page.
-    std::function<void(const store_page&)> on_list;
+    std::function<void(const store_page&, const answer_time&)> on_list;
     /// Receives the changes after the revision `from`, up to the revision of
     /// the page.
-    std::function<void(std::int64_t from, const store_page&)> on_events;
+    std::function<void(std::int64_t from, const store_page&,
+                       const answer_time&)>
+        on_events;
     /// Called when the store stops answering; may be empty.
     std::function<void()> on_lost;
     /// Called after each answer of the store; may be empty.
     std::function<void()> on_answer;
+    /// Called when the store does not serve a call on a new connection; may be
+    /// empty. An open connection may also fail for a reason of its own.
+    std::function<void()> on_unavailable;
   };
 
   /// `wait` is how long the store may hold a watch that has no changes.
@@ -72,7 +85,14 @@
   void OnEvents(const feed_plan::call& completed, const std::string& body);
   /// Counts and logs the entries of `page` that have no usable name.
   void CountUnnamed(const store_page& page);
-  void HandleFailure(const char* why);
+  enum class failure_origin {
+    kStore,    ///< The store does not serve calls.
+    kUnclear,  ///< It may be only this connection, or this answer.
+  };
+  /// Returns the origin of a call's end without an answer.
+  failure_origin OriginOfSilence() const;
+  void HandleFailure(const char* why, failure_origin origin);
+  answer_time TimeOf(const feed_plan::call& completed) const;
   void ScheduleCall(std::chrono::milliseconds delay);
   void RecordAnswer();
 
@@ -96,6 +116,10 @@
   std::uint64_t calls_ = 0;
   std::uint64_t unnamed_ = 0;
   monotonic_time call_start_;
+  /// The pending call is the first one on its connection.
+  bool on_new_connection_ = false;
+  /// Start of the call whose answer began the list that is being read.
+  monotonic_time list_start_;
   monotonic_time last_answer_;
   /// Number of the pending call, or 0 if there is none.
   std::uint64_t pending_call_ = 0;
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -16,6 +16,8 @@
 // While the store does not answer, only the feed of this kind calls it.
 constexpr std::size_t kLivenessKind = 2;
 static_assert(kMirroredKinds[kLivenessKind] == stored_kind::kClosedDataCentres);
+constexpr std::size_t kUpstreamsKind = 1;
+static_assert(kMirroredKinds[kUpstreamsKind] == stored_kind::kUpstreams);
 constexpr milliseconds kReportInterval{400};
 // Interval until all kinds of objects have been received once.
 constexpr milliseconds kStartupInterval{100};
@@ -86,12 +88,15 @@
 
 store_feed::handlers store_mirror::HandlersOf(std::size_t kind) {
   store_feed::handlers result;
-  result.on_list = [this, kind](const store_page& page) {
-    OnStorePage(kind, page_content::kWhole, 0, page);
+  result.on_list = [this, kind](const store_page& page,
+                                const store_feed::answer_time& time) {
+    OnStorePage(kind, page_content::kWhole, 0, page, time);
   };
-  result.on_events = [this, kind](std::int64_t from, const store_page& page) {
-    OnStorePage(kind, page_content::kChanges, from, page);
+  result.on_events = [this, kind](std::int64_t from, const store_page& page,
+                                  const store_feed::answer_time& time) {
+    OnStorePage(kind, page_content::kChanges, from, page, time);
   };
+  result.on_unavailable = [this] { OnStoreUnavailable(); };
   result.on_lost = [this] { OnStoreLost(); };
   result.on_answer = [this, kind] {
     last_answer_ = loop_context::Now();
@@ -150,7 +155,8 @@
 }
 
 void store_mirror::OnStorePage(std::size_t kind, page_content content,
-                               std::int64_t from, const store_page& page) {
+                               std::int64_t from, const store_page& page,
+                               const store_feed::answer_time& time) {
   mirror_page mirrored;
   mirrored.kind = kMirroredKinds[kind];
   mirrored.content = content;
@@ -160,20 +166,50 @@
   for (const stored_object& each : page.objects) {
     mirrored.objects.push_back(ToMirroredObject(each));
   }
-  ApplyPage(kind, mirrored);
+  if (time.was_held) Confirm(kind, time.confirmed_at);
+  mirrored.confirmed_age = ConfirmedAge(kind);
+  ApplyPage(kind, std::move(mirrored));
+  if (kinds_[kind].objects.Revision() >= page.revision)
+    Confirm(kind, time.confirmed_at);
 }
 
-bool store_mirror::ApplyPage(std::size_t kind, const mirror_page& page) {
+void store_mirror::Confirm(std::size_t kind, monotonic_time time) {
+  std::optional<monotonic_time>& confirmed_at = kinds_[kind].confirmed_at;
+  if (confirmed_at.has_value() && time <= *confirmed_at) return;
+  confirmed_at = time;
+  if (kind != kUpstreamsKind) return;
+  store_unavailable_ = false;
+  if (handlers_.on_upstreams_confirmed) handlers_.on_upstreams_confirmed(time);
+}
+
+std::optional<milliseconds> store_mirror::ConfirmedAge(std::size_t kind) const {
+  const std::optional<monotonic_time>& confirmed_at = kinds_[kind].confirmed_at;
+  if (!confirmed_at.has_value()) return std::nullopt;
+  return std::chrono::ceil<milliseconds>(loop_context::Now() - *confirmed_at);
+}
+
+void store_mirror::OnStoreUnavailable() {
+  store_unavailable_ = true;
+  if (handlers_.on_store_unavailable)
+    handlers_.on_store_unavailable(loop_context::Now());
+}
+
+bool store_mirror::ApplyPage(std::size_t kind, mirror_page page) {
   mirrored_kind& own = kinds_[kind];
   const bool complete = own.objects.IsComplete();
   const std::uint64_t before = own.objects.Digest();
   const auto changes = own.objects.Apply(page);
   if (!changes.has_value()) return false;
+  if (complete && page.confirmed_age.has_value())
+    Confirm(kind, loop_context::Now() - *page.confirmed_age);
+  page.confirmed_age = ConfirmedAge(kind);
   own.feed.SkipTo(page.to);
   if (complete && page.content == page_content::kWhole) {
     // Most followers have the same state as this copy had, and the list may be
     // long, so only the difference is sent.
-    SendToFollowers(own.objects.MakeDifference(before, *changes));
+    mirror_page difference = own.objects.MakeDifference(before, *changes);
+    difference.confirmed_age = page.confirmed_age;
+    SendToFollowers(difference);
   } else if (!complete || !page.objects.empty()) {
     SendToFollowers(page);
   }
@@ -274,7 +310,11 @@
             .With("followers", static_cast<std::int64_t>(followers_.size())));
   }
   reported_state_ = state;
-  SendToFollowers(source_report{state, Positions()});
+  SendToFollowers(MakeReport(state));
+}
+
+source_report store_mirror::MakeReport(source_state state) const {
+  return {state, Positions(), ConfirmedAge(kUpstreamsKind), store_unavailable_};
 }
 
 bool store_mirror::IsStoreAnswering(monotonic_time now) const {
@@ -301,9 +341,10 @@
 
 bool store_mirror::OnMessage(instance_links::id link,
                              const std::string& bytes) {
-  const auto message = DecodeMirrorMessage(bytes);
+  auto message = DecodeMirrorMessage(bytes);
   if (!message.has_value()) return false;
-  std::visit([this, link](const auto& each) { Receive(link, each); }, *message);
+  std::visit([this, link](auto& each) { Receive(link, std::move(each)); },
+             *message);
   return true;
 }
 
@@ -323,15 +364,15 @@
   log_.Write(structured_log::kind::kEvent,
              log_line("follower_linked").With("instance", message.instance));
   Send(link, fleet_report{members_});
-  Send(link, source_report{State(now), Positions()});
+  Send(link, MakeReport(State(now)));
 }
 
-void store_mirror::Receive(instance_links::id link, const mirror_page& page) {
+void store_mirror::Receive(instance_links::id link, mirror_page page) {
   if (sources_.count(link) == 0) return;
   const std::size_t kind = IndexOf(page.kind);
   if (kind == kinds_.size()) return;
   const bool newer = page.to > kinds_[kind].objects.Revision();
-  if (!ApplyPage(kind, page) && newer) Subscribe(link);
+  if (!ApplyPage(kind, std::move(page)) && newer) Subscribe(link);
 }
 
 void store_mirror::Receive(instance_links::id link,
@@ -346,9 +387,15 @@
     const std::size_t kind = IndexOf(each.kind);
     if (kind == kinds_.size()) continue;
     mirrored_kind& own = kinds_[kind];
-    if (!own.objects.AdvanceTo(each)) lacks_changes = true;
-    if (own.objects.IsComplete()) own.feed.SkipTo(own.objects.Revision());
+    const bool has_changes = own.objects.AdvanceTo(each);
+    if (!has_changes) lacks_changes = true;
+    if (!own.objects.IsComplete()) continue;
+    own.feed.SkipTo(own.objects.Revision());
+    const bool is_confirmed = has_changes && kind == kUpstreamsKind &&
+                              report.upstreams_confirmed_age.has_value();
+    if (is_confirmed) Confirm(kind, now - *report.upstreams_confirmed_age);
   }
+  if (report.store_unavailable) OnStoreUnavailable();
   if (lacks_changes) Subscribe(link);
   UpdateSources(now);
 }
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,11 @@
         on_changes;
     /// Receives the instances that another instance knows.
     std::function<void(const std::vector<fleet_member>&)> on_members;
+    /// Called when the copy of the upstreams was known to be that of the store
+    /// at `time`, before changes that came later are passed on; may be empty.
+    std::function<void(monotonic_time time)> on_upstreams_confirmed;
+    /// Called when the store was found unavailable; may be empty.
+    std::function<void(monotonic_time time)> on_store_unavailable;
   };
 
   /// `sharing` is whether the bounds on the delay of changes allow this
@@ -63,6 +69,8 @@
   struct mirrored_kind {
     object_mirror objects;
     store_feed feed;
+    /// The latest time at which the copy was known to be that of the store.
+    std::optional<monotonic_time> confirmed_at;
   };
   struct follower {
     std::string instance;
@@ -72,10 +80,15 @@
   /// Returns the handlers of the feed of one kind, by index.
   store_feed::handlers HandlersOf(std::size_t kind);
   void OnStorePage(std::size_t kind, page_content content, std::int64_t from,
-                   const store_page& page);
+                   const store_page& page, const store_feed::answer_time& time);
+  /// Notes that the copy of one kind was that of the store at `time`.
+  void Confirm(std::size_t kind, monotonic_time time);
+  /// Returns how long ago that was, or nothing if it is unknown.
+  std::optional<std::chrono::milliseconds> ConfirmedAge(std::size_t kind) const;
+  void OnStoreUnavailable();
   /// Applies a page to the copy of one kind and forwards it to the followers.
   /// Returns whether the page was applicable and newer than the copy.
-  bool ApplyPage(std::size_t kind, const mirror_page& page);
+  bool ApplyPage(std::size_t kind, mirror_page page);
   void Send(instance_links::id link, const mirror_message& message);
   /// Sends `message` to all followers and encodes it only once.
   void SendToFollowers(const mirror_message& message);
@@ -92,6 +105,7 @@
   void SetWatching(bool watching);
   /// Sends the state and the positions to all followers.
   void ReportState();
+  source_report MakeReport(source_state state) const;
   /// Returns false if this instance watches the store and the store does not
   /// answer.
   bool IsStoreAnswering(monotonic_time now) const;
@@ -103,7 +117,7 @@
   bool OnMessage(instance_links::id link, const std::string& bytes);
   void OnClosed(instance_links::id link, const std::string& why);
   void Receive(instance_links::id link, const mirror_subscription& message);
-  void Receive(instance_links::id link, const mirror_page& page);
+  void Receive(instance_links::id link, mirror_page page);
   void Receive(instance_links::id link, const source_report& report);
   void Receive(instance_links::id link, const fleet_report& report);
   /// Sends this instance's positions to a source and asks for what is newer.
@@ -132,6 +146,8 @@
   bool serving_ = true;
   monotonic_time watching_since_;
   monotonic_time last_answer_;
+  /// The store has been found unavailable since the upstreams were confirmed.
+  bool store_unavailable_ = false;
   monotonic_time last_subscribe_time_;
 };
 
--- a/src/app/store_object_applier.cc
+++ b/src/app/store_object_applier.cc
@@ -1,5 +1,6 @@
 #include "app/store_object_applier.h"
 
+#include <chrono>
 #include <memory>
 #include <utility>
 
@@ -95,10 +96,11 @@
     const upstream_change change = ApplyUpstream(each, now);
     if (change == upstream_change::kUnreadable) continue;
     if (change == upstream_change::kReady && ++ready > kMaxReadyLines) continue;
-    log_.Write(structured_log::kind::kEvent,
-               log_line("upstream_changed")
-                   .With("upstream", each.name)
-                   .With("state", UpstreamChangeName(change)));
+    log_line line("upstream_changed");
+    line.With("upstream", each.name).With("state", UpstreamChangeName(change));
+    if (change != upstream_change::kReady)
+      line.With("confirmed_ms", ListAge(now));
+    log_.Write(structured_log::kind::kEvent, line);
   }
   if (ready <= kMaxReadyLines) return;
   log_.Write(structured_log::kind::kEvent,
@@ -107,6 +109,14 @@
                  .With("known", static_cast<std::int64_t>(directory_.Size())));
 }
 
+std::int64_t store_object_applier::ListAge(monotonic_time now) const {
+  const auto& confirmed_at = directory_.ListConfirmedAt();
+  if (!confirmed_at.has_value()) return -1;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                               *confirmed_at)
+      .count();
+}
+
 store_object_applier::upstream_change store_object_applier::ApplyUpstream(
     const stored_object& object, monotonic_time now) {
   fault_list faults;
--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -121,7 +121,19 @@
 
 void upstream_directory::Remove(const std::string& id, monotonic_time now) {
   const auto found = upstreams_.find(id);
-  if (found != upstreams_.end()) StartDraining(*found->second, now);
+  if (found == upstreams_.end()) return;
+  // Comparing the optionals: a time that is not known comes first.
+  if (store_unavailable_at_ > list_confirmed_at_)
+    return AwaitReturn(*found->second, now);
+  StartDraining(*found->second, now);
+}
+
+void upstream_directory::ConfirmList(monotonic_time time) {
+  list_confirmed_at_ = time;
+}
+
+void upstream_directory::OnStoreUnavailable(monotonic_time time) {
+  store_unavailable_at_ = time;
 }
 
 void upstream_directory::Erase(const std::string& id) {
@@ -458,6 +470,14 @@
 
 void upstream_directory::StartDraining(known_upstream& upstream,
                                        monotonic_time now) const {
+  if (upstream.usable_until.has_value()) return;
+  const monotonic_time since =
+      std::min(now, list_confirmed_at_.value_or(now - drain_time_));
+  upstream.usable_until = since + drain_time_;
+}
+
+void upstream_directory::AwaitReturn(known_upstream& upstream,
+                                     monotonic_time now) const {
   if (!upstream.usable_until.has_value())
     upstream.usable_until = now + drain_time_;
 }
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -73,6 +73,16 @@
   /// Returns true if it is new.
   bool ApplyNotice(known_upstream& upstream, const upstream_notice& notice,
                    monotonic_time now);
+  /// Tells that at `time` this directory knew all that the store had accepted
+  /// about upstreams. What is learnt later may have been so since then.
+  void ConfirmList(monotonic_time time);
+  /// Tells that the store was found unavailable at `time`, so that entries of
+  /// upstreams that go on serving may lapse.
+  void OnStoreUnavailable(monotonic_time time);
+  /// Returns the time given to ConfirmList last, or nothing before the first.
+  const std::optional<monotonic_time>& ListConfirmedAt() const {
+    return list_confirmed_at_;
+  }
   /// Starts draining an upstream that the store no longer lists.
   void Remove(const std::string& id, monotonic_time now);
   /// Erases an upstream at once, as when another one answers at its address.
@@ -199,12 +209,18 @@
   /// Returns the relative expected time of a request; lower is better.
   double Cost(const known_upstream& upstream, const upstream_criteria& criteria,
               monotonic_time now) const;
-  /// Sets `usable_until` if the upstream was not leaving yet.
+  /// Sets `usable_until` if the upstream was not known to leave yet. It may
+  /// have been leaving since the list was confirmed.
   void StartDraining(known_upstream& upstream, monotonic_time now) const;
+  /// Gives the upstream its drain time from now on, as its entry may only have
+  /// lapsed.
+  void AwaitReturn(known_upstream& upstream, monotonic_time now) const;
 
   std::string data_centre_;
   std::chrono::milliseconds drain_time_;
   warmup_limits warmup_;
+  std::optional<monotonic_time> list_confirmed_at_;
+  std::optional<monotonic_time> store_unavailable_at_;
   std::shared_ptr<const tier_configuration> configuration_;
   std::set<std::string> closed_data_centres_;
   std::set<std::string> unreachable_data_centres_;
--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -1,5 +1,7 @@
 #include "protocol/mirror_codec.h"
 
+#include <algorithm>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -20,6 +22,9 @@
 constexpr char kControl[] = "control";
 constexpr char kCores[] = "cores";
 constexpr double kMaxCores = 1024;
+// Longer ages do not differ, and subtracting this from a time does not
+// overflow.
+constexpr std::chrono::milliseconds kMaxAge = std::chrono::hours(24);
 
 json EncodePositions(const std::vector<mirror_position>& positions) {
   json out = json::array();
@@ -41,6 +46,22 @@
   return positions;
 }
 
+// Instances of earlier versions leave ages out and ignore those of others.
+constexpr int kUnknownAge = -1;
+
+json EncodeAge(const std::optional<std::chrono::milliseconds>& age) {
+  return age.has_value() ? age->count() : kUnknownAge;
+}
+
+std::optional<std::chrono::milliseconds> DecodeAge(const json& message,
+                                                   std::size_t index) {
+  if (index >= message.size()) return std::nullopt;
+  const std::chrono::milliseconds age(
+      DecodeInteger<std::int64_t>(message.at(index)));
+  if (age.count() < 0) return std::nullopt;
+  return std::min(age, kMaxAge);
+}
+
 std::string FormatControlAddress(const fleet_member& member) {
   if (member.control.port == 0) return "";
   return member.control.address + ":" + std::to_string(member.control.port);
@@ -60,16 +81,17 @@
       objects.push_back(
           json::binary({each.document.begin(), each.document.end()}));
     }
-    return json::array({static_cast<int>(message_type::kPage),
-                        static_cast<int>(page.kind),
-                        static_cast<int>(page.content), page.from, page.to,
-                        page.base, std::move(objects)});
+    return json::array(
+        {static_cast<int>(message_type::kPage), static_cast<int>(page.kind),
+         static_cast<int>(page.content), page.from, page.to, page.base,
+         std::move(objects), EncodeAge(page.confirmed_age)});
   }
 
   json operator()(const source_report& report) const {
-    return json::array({static_cast<int>(message_type::kSource),
-                        static_cast<int>(report.state),
-                        EncodePositions(report.positions)});
+    return json::array(
+        {static_cast<int>(message_type::kSource),
+         static_cast<int>(report.state), EncodePositions(report.positions),
+         EncodeAge(report.upstreams_confirmed_age), report.store_unavailable});
   }
 
   json operator()(const fleet_report& report) const {
@@ -107,6 +129,8 @@
     object.document.assign(document.begin(), document.end());
     page.objects.push_back(std::move(object));
   }
+  constexpr std::size_t kAgeIndex = 7;
+  page.confirmed_age = DecodeAge(in, kAgeIndex);
   return page;
 }
 
@@ -125,6 +149,18 @@
   return report;
 }
 
+source_report DecodeReport(const json& in) {
+  source_report report;
+  report.state = DecodeEnum(in.at(1), source_state::kLost);
+  report.positions = DecodePositions(in.at(2));
+  constexpr std::size_t kAgeIndex = 3;
+  constexpr std::size_t kUnavailableIndex = 4;
+  report.upstreams_confirmed_age = DecodeAge(in, kAgeIndex);
+  if (kUnavailableIndex < in.size())
+    in.at(kUnavailableIndex).get_to(report.store_unavailable);
+  return report;
+}
+
 mirror_message Decode(const json& in) {
   switch (DecodeEnum(in.at(0), message_type::kFleet)) {
     case message_type::kSubscription:
@@ -133,8 +169,7 @@
     case message_type::kPage:
       return DecodePage(in);
     case message_type::kSource:
-      return source_report{DecodeEnum(in.at(1), source_state::kLost),
-                           DecodePositions(in.at(2))};
+      return DecodeReport(in);
     case message_type::kFleet:
       return DecodeFleet(in);
   }
--- a/src/state/mirror_message.h
+++ b/src/state/mirror_message.h
@@ -1,7 +1,9 @@
 #ifndef PAPAYAGLADE_STATE_MIRROR_MESSAGE_H_
 #define PAPAYAGLADE_STATE_MIRROR_MESSAGE_H_
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -35,6 +37,9 @@
   std::uint64_t base = 0;  ///< Digest of the copy that kDifference applies to.
   /// The objects, in the order of their changes.
   std::vector<mirrored_object> objects;
+  /// How long ago the sender's copy, as it was before these changes, was known
+  /// to be that of the store; empty if unknown. The changes are no older.
+  std::optional<std::chrono::milliseconds> confirmed_age;
 };
 
 /// The store revision up to which an instance has the objects of one kind, and
@@ -71,6 +76,11 @@
 struct source_report {
   source_state state = source_state::kFollowing;
   std::vector<mirror_position> positions;
+  /// How long ago the copy of the upstreams was known to be that of the store;
+  /// empty if unknown.
+  std::optional<std::chrono::milliseconds> upstreams_confirmed_age;
+  /// The store has been found unavailable since then.
+  bool store_unavailable = false;
 };
 
 /// All instances that the sender knows.
--- a/tests/soak/case_tier.py
+++ b/tests/soak/case_tier.py
@@ -41,6 +41,8 @@
         self.finished = False
         self.random = types.SimpleNamespace(random=lambda: 1.0)  # no log pipe
         self.store_port = free_port()
+        self.store = None
+        self.searchers = {}  # by service
         self.requests = 0
         self.instance = None
         self.instance_settings = {}
@@ -51,11 +53,12 @@
         return asyncio.get_running_loop().time()
 
     async def prepare(self, shutdown_s=SHUTDOWN_TIMEOUT_S):
-        store = Store()
+        self.store = store = Store()
         await store.serve(self.store_port)
         for service in SERVICES:
             searcher = ObedientSearcher(f"i-{service}", service, "kigali",
                                         free_port(), 0, self.ledger, slots=200)
+            self.searchers[service] = searcher
             await searcher.start()
             await store.put("servers", searcher.id, searcher.entry())
         common = {"host": "shop.example", "priority": 1,
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -18,6 +18,7 @@
         self.outage = None  # None, "busy", "reset" or "silent"
         self.outage_ended = 0.0
         self.losing_kind = None  # the next answer to a watch on it is lost
+        self.awaited_watches = {}  # kind -> event that its next watch sets
         self.oldest_revision = 100
         self.texts = {}  # placeholder of a spec -> its JSON text
         self.control_ports = {}  # control port -> port of its relay
@@ -118,7 +119,14 @@
             {"items": items, "has_more": len(names) > page,
              "at": self.revision}))
 
+    async def watch_begun(self, kind):
+        """Waits until a watch on the kind arrives."""
+        self.awaited_watches[kind] = asyncio.Event()
+        await self.awaited_watches[kind].wait()
+
     async def watch(self, kind, since, wait_ms):
+        if kind in self.awaited_watches:
+            self.awaited_watches.pop(kind).set()
         if since < self.oldest_revision:
             return answer(410, b"{}")
 
--- a/tests/unit/mirror_codec_test.cc
+++ b/tests/unit/mirror_codec_test.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+using std::chrono::seconds;
+
 constexpr unsigned kSeed = 20261204;
 constexpr int kMutations = 20000;
 
@@ -47,6 +49,16 @@
   CHECK(subscription.positions.at(0).digest == 5);
   const auto report = RoundTrip(source_report{source_state::kLost, {}});
   CHECK(report.state == source_state::kLost);
+  CHECK_FALSE(report.upstreams_confirmed_age.has_value());
+  CHECK_FALSE(report.store_unavailable);
+  const auto aged =
+      RoundTrip(source_report{source_state::kLost, {}, seconds(3), true});
+  CHECK(aged.upstreams_confirmed_age == seconds(3));
+  CHECK(aged.store_unavailable);
+  mirror_page aged_page = ExamplePage();
+  CHECK_FALSE(RoundTrip(aged_page).confirmed_age.has_value());
+  aged_page.confirmed_age = seconds(0);
+  CHECK(RoundTrip(aged_page).confirmed_age == seconds(0));
   const auto fleet = RoundTrip(fleet_report{
       {{"a", "kigali", {"10.0.0.1", 80}, 0.5}, {"b", "huye", endpoint(), 0}}});
   CHECK(fleet.members.at(0).control == endpoint{"10.0.0.1", 80});
@@ -62,7 +74,9 @@
       source_state::kWatching,
       {{stored_kind::kConfiguration, 1'000'000, UINT64_MAX},
        {stored_kind::kUpstreams, 1'000'000, UINT64_MAX},
-       {stored_kind::kClosedDataCentres, 1'000'000, UINT64_MAX}}};
+       {stored_kind::kClosedDataCentres, 1'000'000, UINT64_MAX}},
+      std::chrono::seconds(60),
+      true};
   const std::size_t size = EncodeMirrorMessage(report).size();
   INFO(size);
   CHECK(size <= 60);
@@ -188,4 +202,21 @@
   CHECK(refused > 0);
 }
 
+// Guards against a fleet that stops following while it is upgraded.
+TEST_CASE("messages of an earlier version have no ages", "[mirror]") {
+  const auto encode = [](const nlohmann::json& message) {
+    const auto bytes = nlohmann::json::to_cbor(message);
+    return std::string(bytes.begin(), bytes.end());
+  };
+  const auto report = DecodeMirrorMessage(
+      encode(nlohmann::json::array({2, 1, nlohmann::json::array()})));
+  REQUIRE(report.has_value());
+  CHECK_FALSE(
+      std::get<source_report>(*report).upstreams_confirmed_age.has_value());
+  const auto page = DecodeMirrorMessage(encode(
+      nlohmann::json::array({1, 1, 0, 5, 6, 0, nlohmann::json::array()})));
+  REQUIRE(page.has_value());
+  CHECK_FALSE(std::get<mirror_page>(*page).confirmed_age.has_value());
+}
+
 }  // namespace papayaglade
--- a/tests/unit/store_mirror_test.cc
+++ b/tests/unit/store_mirror_test.cc
@@ -11,8 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/platform_store_format.h"
-#include "store_standin.h"
+#include "mirrored_instance.h"
 
 namespace papayaglade {
 
@@ -22,84 +21,6 @@
 using std::chrono::milliseconds;
 using tcp = boost::asio::ip::tcp;
 
-// The store mirror of one instance, and the upstreams and members it reported.
-class mirrored_instance {
- public:
-  mirrored_instance(loop_context& loop, const endpoint& store,
-                    const std::string& name, bool sharing,
-                    std::vector<std::string> seeds = {})
-      : log_(loop), links_(loop) {
-    entry_settings settings;
-    settings.name = name;
-    settings.data_centre = "kigali";
-    settings.control = control;
-    settings.store = store;
-    settings.seeds = std::move(seeds);
-    mirror = std::make_unique<store_mirror>(
-        loop, format_, log_, links_, settings, sharing,
-        store_mirror::handlers{
-            [this](stored_kind kind, const auto& objects) {
-              if (kind == stored_kind::kUpstreams) UpdateUpstreams(objects);
-              for (const stored_object& each : objects) {
-                if (!each.deleted) received.insert({kind, each.name});
-              }
-            },
-            [this](const auto& reported) { members = reported; }});
-    REQUIRE(mirror->Start().empty());
-  }
-
-  fleet_member Member(const std::string& name) const {
-    return {name, "kigali", control, 0};
-  }
-  std::string SeedText() const {
-    return control.address + ":" + std::to_string(control.port);
-  }
-
-  endpoint control = FindFreeEndpoint();
-  std::unique_ptr<store_mirror> mirror;
-  std::set<std::string> upstreams;
-  std::set<std::pair<stored_kind, std::string>> received;
-  std::vector<fleet_member> members;
-
- private:
-  void UpdateUpstreams(const std::vector<stored_object>& objects) {
-    for (const stored_object& each : objects) {
-      if (each.deleted) {
-        upstreams.erase(each.name);
-      } else {
-        upstreams.insert(each.name);
-      }
-    }
-  }
-
-  platform::platform_store_format format_;
-  structured_log log_;
-  instance_links links_;
-};
-
-using instance_list = std::vector<std::unique_ptr<mirrored_instance>>;
-
-bool AllKnow(const instance_list& instances,
-             const std::set<std::string>& upstreams) {
-  return std::all_of(instances.begin(), instances.end(), [&](const auto& each) {
-    return each->mirror->Complete() && each->upstreams == upstreams;
-  });
-}
-
-instance_list MakeInstances(loop_context& loop, const endpoint& store,
-                            std::size_t size) {
-  instance_list instances;
-  std::vector<fleet_member> members;
-  for (std::size_t i = 0; i < size; ++i) {
-    const std::string name = "entry-" + std::to_string(i);
-    instances.push_back(
-        std::make_unique<mirrored_instance>(loop, store, name, true));
-    members.push_back(instances.back()->Member(name));
-  }
-  for (const auto& each : instances) each->mirror->SetMembers(members);
-  return instances;
-}
-
 // Content that cannot be read, for different reasons.
 std::vector<std::string> UnreadableTexts() {
   constexpr std::size_t kDeepLevels = 200'000;
--- a/tests/unit/store_standin.h
+++ b/tests/unit/store_standin.h
@@ -47,6 +47,9 @@
   /// Loses the next answer with changes to a watch on `kind`: its connection
   /// stays open, but returns nothing further.
   void LoseNextAnswer(const std::string& kind) { losing_kind_ = kind; }
+  /// Answers none of the watches that wait now: their connections have gone
+  /// silent, while new ones work.
+  void SetSilent() { watches_.clear(); }
   bool LostAnswer() const { return lost_answer_; }
   /// Refuses the waiting watches on `kind`.
   void RefuseWaitingWatches(const std::string& kind);
--- a/tests/unit/upstream_directory_test.cc
+++ b/tests/unit/upstream_directory_test.cc
@@ -46,6 +46,7 @@
   directory.SetFleet({3, 0});
   directory.Update(MakeRecord("a", "kigali"), kStart);
   directory.Update(MakeRecord("b", "huye"), kStart);
+  directory.ConfirmList(kStart);
   return directory;
 }
 
--- a/tests/unit/upstream_notice_test.cc
+++ b/tests/unit/upstream_notice_test.cc
@@ -49,6 +49,7 @@
     directory.SetFleet({1, 0});
     for (const std::string& each : kArchive)
       directory.Update(Record(each), kStart);
+    directory.ConfirmList(kStart);
   }
 
   known_upstream& Known(const std::string& id) {
