--- a/tests/soak/case_tier.py
+++ b/tests/soak/case_tier.py
@@ -64,6 +64,9 @@
         common = {"host": "shop.example", "priority": 1,
                   "target_latency_ms": 200, "max_attempts": 1,
                   "timeout_ms": 20000}
+        fanout = {"name": "search", "path_prefix": "/search/",
+                  "type": "idempotent", "fanout_services": SERVICES,
+                  "top_k": 5, "min_shard_share": 1, **common}
         await store.put("config", "main", {
             "version": 2, "limits": {"idle_timeout_ms": 15000},
             "routes": [{"name": name, "path_prefix": f"/{name}/",
@@ -71,7 +74,7 @@
                        for name, kind, service in (
                            ("pull", "idempotent", "archive"),
                            ("book", "non_idempotent", "archive"),
-                           ("quick", "idempotent", "other"))],
+                           ("quick", "idempotent", "other"))] + [fanout],
             "services": [{"name": service, "health_path": "/health",
                           "max_connections": 300, "protocol": "h1",
                           "tls": False, "warmup_s": 0, "warmup_per_s": 0}
--- a/tests/soak/stop_cases.py
+++ b/tests/soak/stop_cases.py
@@ -8,6 +8,7 @@
 import signal
 import tempfile
 
+from .answer_cases import ANSWER_CASES
 from .case_tier import (CASE_TIMEOUT_S, DRAIN_TIMEOUT_S, Tier, all_answered,
                         outcome)
 from .drain_cases import DRAIN_CASES
@@ -240,7 +241,8 @@
 CASES = [frozen_at_the_end, held_up_for_110_ms, held_up_for_250_ms,
          signal_handled_late, grace_changed_without_signal,
          pipelined_while_stopping, signal_at_start, log_pipe_closed,
-         head_refused, refuses_from_the_start, half_closed, *DRAIN_CASES]
+         head_refused, refuses_from_the_start, half_closed, *DRAIN_CASES,
+         *ANSWER_CASES]
 BULKY_CASES = [reset_destroys_an_answer, too_large_while_sending,
                reader_pauses, slow_reader_at_the_end,
                answer_too_long_for_the_end, *MEMORY_CASES]
