Bound what all answers take together while they are received

One answer was bounded to 8 MB, their sum was not. Searches that wait for a slow shard also kept the large parts of the others whole (347 MB of 260 with 50 searches).

Answers over 16 KB count against a share of memory_mb now. Where there is no room, the largest is given up as broken, so that the endless one goes and sound ones stay. A large part is reduced to the records that a merge may need on arrival.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -53,7 +53,8 @@
         log_(loop_),
         directory_(settings.data_centre, settings.bounds, settings.warmup),
         policy_(settings.repeats),
-        upstream_client_(loop_, wire, directory_, policy_, reachability_),
+        upstream_client_(loop_, wire, directory_, policy_, reachability_,
+                         ShareMemory(settings.memory_bytes).answers),
         service_(loop_, wire, directory_, policy_, upstream_client_, log_,
                  metrics_),
         callers_(loop_, service_, settings.descriptors / kDescriptorsPerCaller,
@@ -166,6 +167,11 @@
               AttemptEndName(each.first) + "\"} " +
               std::to_string(each.second) + "\n";
     }
+    const answer_memory& answers = upstream_client_.AnswerMemory();
+    text += "papayaglade_received_answer_bytes " +
+            std::to_string(answers.HeldBytes()) + "\n";
+    text += "papayaglade_answers_given_up_total " +
+            std::to_string(answers.GivenUpCount()) + "\n";
     const auto& relays = relay_client_.Totals();
     text += "papayaglade_relay_requests_total " +
             std::to_string(relays.requests) + "\n";
--- a/src/coordination/memory_shares.cc
+++ b/src/coordination/memory_shares.cc
@@ -10,11 +10,12 @@
 constexpr std::size_t kBaseBytes = 48UL * 1000 * 1000;
 // A process keeps this much for its callers, however little memory it has.
 constexpr std::size_t kMinCallerBytes = 16UL * 1000 * 1000;
-// A body stands in memory twice while it is passed on, so twice this share and
-// that of the unread answers leave room for answers on their way.
+// A body stands in memory twice while it is passed on, so twice the share of
+// requests and those of the answers make up the whole.
 constexpr double kRequestShare = 0.2;
 constexpr double kUnreadShare = 0.45;
 constexpr double kUnreadShareToRun = 0.3;
+constexpr double kAnswerShare = 0.15;
 
 std::size_t ShareOf(std::size_t bytes, double share) {
   return static_cast<std::size_t>(share * static_cast<double>(bytes));
@@ -29,6 +30,7 @@
   shares.requests = ShareOf(rest, kRequestShare);
   shares.unread_answers_to_run = ShareOf(rest, kUnreadShareToRun);
   shares.unread_answers = ShareOf(rest, kUnreadShare);
+  shares.answers = ShareOf(rest, kAnswerShare);
   return shares;
 }
 
--- a/src/coordination/record_merge.cc
+++ b/src/coordination/record_merge.cc
@@ -5,6 +5,13 @@
 
 namespace papayaglade {
 
+namespace {
+
+// A smaller part is not worth the time.
+constexpr std::size_t kSmallPartBytes = 16UL * 1024;
+
+}  // namespace
+
 std::string MergeRecords(const std::vector<const std::string*>& parts,
                          std::size_t top) {
   std::vector<const char*> records;
@@ -29,4 +36,9 @@
   return merged;
 }
 
+std::string ReducePart(std::string part, std::size_t top) {
+  if (part.size() <= kSmallPartBytes) return part;
+  return MergeRecords({&part}, top);
+}
+
 }  // namespace papayaglade
--- a/src/coordination/record_merge.h
+++ b/src/coordination/record_merge.h
@@ -16,6 +16,10 @@
 std::string MergeRecords(const std::vector<const std::string*>& parts,
                          std::size_t top);
 
+/// Returns a part that merges with others into the same `top` records as `part`
+/// and takes less memory if `part` is large.
+std::string ReducePart(std::string part, std::size_t top);
+
 }  // namespace papayaglade
 
 #endif  // PAPAYAGLADE_COORDINATION_RECORD_MERGE_H_
--- a/src/coordination/relay_run.cc
+++ b/src/coordination/relay_run.cc
@@ -54,7 +54,8 @@
   open_.erase(found);
   if (result.end == attempt_end::kAnswered) {
     parts_.push_back({number, std::move(result.reply.signature), latency});
-    bodies_.push_back(std::move(result.reply.body));
+    bodies_.push_back(
+        ReducePart(std::move(result.reply.body), request_.top_records));
   } else {
     relay_reply failed;
     failed.id = request_.id;
--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -118,7 +118,8 @@
       if (fanout_ == nullptr) {
         return Finish(relayed_answer{std::move(result.reply)});
       }
-      current.part = std::move(result.reply.body);
+      current.part =
+          ReducePart(std::move(result.reply.body), fanout_->top_records);
       current.signature = std::move(result.reply.signature);
       break;
     case attempt_end::kFailedAnswer:
--- a/src/transport/http_exchange_channel.cc
+++ b/src/transport/http_exchange_channel.cc
@@ -1,6 +1,7 @@
 #include "transport/http_exchange_channel.h"
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
@@ -45,10 +46,14 @@
 
 http_exchange_channel::http_exchange_channel(
     loop_context& loop, endpoint target,
-    std::chrono::milliseconds connect_timeout)
+    std::chrono::milliseconds connect_timeout,
+    std::shared_ptr<answer_memory> memory)
     : loop_(loop),
       target_(std::move(target)),
-      connect_timeout_(connect_timeout) {}
+      connect_timeout_(connect_timeout),
+      memory_(std::move(memory)) {}
+
+http_exchange_channel::~http_exchange_channel() { ReleaseMemory(); }
 
 void http_exchange_channel::Exchange(std::string request, bool is_head,
                                      exchange_handler done) {
@@ -56,6 +61,7 @@
   is_head_ = is_head;
   done_ = std::move(done);
   interim_answers_ = 0;
+  ++exchange_number_;
   if (!connected_) return Connect();
   ResetParser();
   socket_->Write(std::move(request_));
@@ -65,6 +71,7 @@
   if (closed_) return;
   closed_ = true;
   done_ = nullptr;
+  ReleaseMemory();
   if (socket_ != nullptr) socket_->Close();
 }
 
@@ -118,6 +125,7 @@
     error_code failed;
     const std::size_t used = ParseStep(*parser_, unparsed_, failed);
     unparsed_.erase(0, used);
+    CountMemory();
     if (failed == http::error::need_more) {
       if (unparsed_.size() <= kMaxUnparsedBytes) return;
       return Fail(channel_failure::kBroken, "bytes without end");
@@ -157,6 +165,7 @@
   finished.has_head = true;
   UpdateIdleDeadline(finished.message);
   parser_.reset();
+  ReleaseMemory();
   const exchange_handler done = std::exchange(done_, nullptr);
   const auto self = shared_from_this();
   done(std::move(finished));
@@ -176,6 +185,28 @@
   if (done) done(std::move(failed));
 }
 
+// Another exchange may be at work on its own answer just now, so this one ends
+// later, unless it has ended until then.
+void http_exchange_channel::GiveUpAnswer() {
+  boost::asio::post(
+      loop_.Io(), [weak = weak_from_this(), exchange = exchange_number_] {
+        const auto self = weak.lock();
+        if (self == nullptr || !self->done_) return;
+        if (self->exchange_number_ != exchange) return;
+        self->Fail(channel_failure::kBroken, "no memory for the answer");
+      });
+}
+
+void http_exchange_channel::CountMemory() {
+  if (memory_ == nullptr) return;
+  memory_->Resize(*this,
+                  unparsed_.capacity() + parser_->get().body().capacity());
+}
+
+void http_exchange_channel::ReleaseMemory() {
+  if (memory_ != nullptr) memory_->Release(*this);
+}
+
 void http_exchange_channel::UpdateIdleDeadline(
     const upstream_message& message) {
   last_used_ = loop_context::Now();
--- a/src/transport/http_exchange_channel.h
+++ b/src/transport/http_exchange_channel.h
@@ -4,12 +4,14 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "coordination/answer_memory.h"
 #include "protocol/entry_wire_format.h"
 #include "transport/stream_socket.h"
 
@@ -24,7 +26,8 @@
 /// An HTTP/1.1 client connection that runs one exchange at a time. Bytes that
 /// arrive outside an exchange close the connection.
 class http_exchange_channel
-    : public std::enable_shared_from_this<http_exchange_channel> {
+    : public answer_holder,
+      public std::enable_shared_from_this<http_exchange_channel> {
  public:
   struct result {
     /// The failure; empty if `message` is complete.
@@ -37,8 +40,11 @@
   };
   using exchange_handler = std::function<void(result)>;
 
+  /// The bytes of an answer count against `memory`, if there is one.
   http_exchange_channel(loop_context& loop, endpoint target,
-                        std::chrono::milliseconds connect_timeout);
+                        std::chrono::milliseconds connect_timeout,
+                        std::shared_ptr<answer_memory> memory = nullptr);
+  ~http_exchange_channel() override;
 
   /// Sends `request`, connecting first if necessary, and passes the result to
   /// `done`. `is_head` marks a HEAD request, whose answer has no body.
@@ -47,6 +53,9 @@
   /// Closes the connection without calling the handler of a running exchange.
   void Close();
 
+  /// Ends the exchange in progress as broken, soon after this returns.
+  void GiveUpAnswer() override;
+
   bool IsConnected() const { return connected_; }
   /// Returns true if the channel is connected, idle and kept alive, so that
   /// another exchange can follow.
@@ -67,14 +76,19 @@
   void OnEnd(boost::system::error_code failed);
   void Complete();
   void Fail(channel_failure failure, const char* why);
+  /// Counts the received bytes that are kept against the memory.
+  void CountMemory();
+  void ReleaseMemory();
   void UpdateIdleDeadline(const upstream_message& message);
 
   loop_context& loop_;
   endpoint target_;
   std::chrono::milliseconds connect_timeout_;
+  std::shared_ptr<answer_memory> memory_;
   std::shared_ptr<stream_socket> socket_;
-  std::string request_;      ///< The request to send once connected.
-  std::string unparsed_;     ///< Received bytes that were not parsed yet.
+  std::string request_;   ///< The request to send once connected.
+  std::string unparsed_;  ///< Received bytes that were not parsed yet.
+  std::uint64_t exchange_number_ = 0;
   int interim_answers_ = 0;  ///< Interim answers to the outstanding request.
   std::optional<parser> parser_;
   exchange_handler done_;  ///< Handler of the exchange; empty while none runs.
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -36,12 +36,14 @@
                                  const entry_wire_format& wire,
                                  upstream_directory& directory,
                                  attempt_policy& policy,
-                                 reachability_monitor& reachability)
+                                 reachability_monitor& reachability,
+                                 std::size_t answer_bytes)
     : loop_(loop),
       wire_(wire),
       directory_(directory),
       policy_(policy),
-      reachability_(reachability) {}
+      reachability_(reachability),
+      answer_memory_(std::make_shared<answer_memory>(answer_bytes)) {}
 
 upstream_client::id upstream_client::StartAttempt(attempt_spec spec,
                                                   handler done) {
@@ -115,7 +117,7 @@
   if (kept.has_value()) return std::move(*kept);
   ++totals_.connected;
   return {std::make_shared<http_exchange_channel>(
-              loop_, upstream->record.address, kConnectTimeout),
+              loop_, upstream->record.address, kConnectTimeout, answer_memory_),
           {}};
 }
 
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -12,7 +12,9 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/answer_memory.h"
 #include "coordination/attempt_policy.h"
+#include "coordination/memory_shares.h"
 #include "coordination/repeatable_requests.h"
 #include "coordination/upstream_directory.h"
 #include "protocol/entry_wire_format.h"
@@ -47,9 +49,11 @@
     std::size_t pauses = 0;
   };
 
+  /// `answer_bytes` is what all answers may take while they are received.
   upstream_client(loop_context& loop, const entry_wire_format& wire,
                   upstream_directory& directory, attempt_policy& policy,
-                  reachability_monitor& reachability);
+                  reachability_monitor& reachability,
+                  std::size_t answer_bytes = memory_shares().answers);
 
   /// Sends an attempt and passes its result to `done`, which never runs before
   /// StartAttempt returns.
@@ -85,6 +89,7 @@
   void CloseUnusedConnections();
 
   const totals& Totals() const { return totals_; }
+  const answer_memory& AnswerMemory() const { return *answer_memory_; }
 
  private:
   using channel_pointer = std::shared_ptr<http_exchange_channel>;
@@ -134,6 +139,7 @@
   upstream_directory& directory_;
   attempt_policy& policy_;
   reachability_monitor& reachability_;
+  std::shared_ptr<answer_memory> answer_memory_;
   id last_id_ = 0;
   std::unordered_map<id, exchange> exchanges_;
   /// Idle connections to one upstream process, last used last. Pools are keyed
--- a/tests/soak/stop_cases.py
+++ b/tests/soak/stop_cases.py
@@ -8,7 +8,7 @@
 import signal
 import tempfile
 
-from .answer_cases import ANSWER_CASES
+from .answer_cases import ANSWER_CASES, ENDLESS_CASES
 from .case_tier import (CASE_TIMEOUT_S, DRAIN_TIMEOUT_S, Tier, all_answered,
                         outcome)
 from .drain_cases import DRAIN_CASES
@@ -245,7 +245,8 @@
          *ANSWER_CASES]
 BULKY_CASES = [reset_destroys_an_answer, too_large_while_sending,
                reader_pauses, slow_reader_at_the_end,
-               answer_too_long_for_the_end, *MEMORY_CASES]
+               answer_too_long_for_the_end, *MEMORY_CASES,
+               *ENDLESS_CASES]
 
 
 class StopCases:
--- a/tests/unit/http_exchange_channel_test.cc
+++ b/tests/unit/http_exchange_channel_test.cc
@@ -240,4 +240,37 @@
   CHECK(Exchange(loop, channel).failure == channel_failure::kNotConnected);
 }
 
+// Guards against a process that ends because upstreams send bytes without end
+// on many connections: each is within the limit of one answer.
+TEST_CASE("an answer is given up where there is no memory for it",
+          "[channel][memory]") {
+  constexpr std::size_t kLimit = 100'000;
+  const endless_server server("HTTP/1.1 200 OK\r\n\r\n",
+                              std::string(1000, 'x'));
+  loop_context loop;
+  const auto memory = std::make_shared<answer_memory>(kLimit);
+  const auto channel = std::make_shared<http_exchange_channel>(
+      loop, server.Address(), kConnectTimeout, memory);
+  const auto result = Exchange(loop, channel);
+  CHECK(result.failure == channel_failure::kBroken);
+  CHECK(result.why == std::string("no memory for the answer"));
+  CHECK(memory->HeldBytes() == 0);
+  CHECK(memory->GivenUpCount() == 1);
+}
+
+TEST_CASE("an answer within the memory arrives and leaves it free",
+          "[channel][memory]") {
+  const std::string body(200'000, 'x');
+  const scripted_server server({{Answer(body)}, {Answer(body)}});
+  loop_context loop;
+  const auto memory = std::make_shared<answer_memory>(1'000'000);
+  const auto channel = std::make_shared<http_exchange_channel>(
+      loop, server.Address(), kConnectTimeout, memory);
+  for (int i = 0; i < 2; ++i) {
+    CHECK(Exchange(loop, channel).message.body() == body);
+    CHECK(memory->HeldBytes() == 0);
+  }
+  channel->Close();
+}
+
 }  // namespace papayaglade
--- a/tests/unit/memory_budget_test.cc
+++ b/tests/unit/memory_budget_test.cc
@@ -41,13 +41,14 @@
 
 // Guards against the end of the process by its memory: all shares together fit
 // beside the program.
-TEST_CASE("the shares of callers fit into the machine's memory", "[memory]") {
+TEST_CASE("the shares of callers and answers fit into the machine's memory",
+          "[memory]") {
   constexpr std::size_t kMegabyte = 1000 * 1000;
   constexpr std::size_t kProgramMb = 48;
   for (const std::size_t mb : {160, 260, 512}) {
     const memory_shares shares = ShareMemory(mb * kMegabyte);
     // A body stands in memory twice while it is passed on.
-    CHECK(2 * shares.requests + shares.unread_answers <=
+    CHECK(2 * shares.requests + shares.unread_answers + shares.answers <=
           (mb - kProgramMb) * kMegabyte);
     CHECK(shares.unread_answers_to_run < shares.unread_answers);
   }
--- a/tests/unit/record_merge_test.cc
+++ b/tests/unit/record_merge_test.cc
@@ -53,4 +53,19 @@
   CHECK(MergeRecords(pointers, 50) == expected);
 }
 
+// Guards against large parts that are kept whole until the last shard answers.
+TEST_CASE("a large part is reduced to the records that a merge may need",
+          "[merge_records]") {
+  std::mt19937 random(11);
+  const std::size_t count = GENERATE(10, 1000, 1030, 50'000);
+  std::string part(count * kRecordBytes + 5, '\0');
+  for (char& c : part) c = static_cast<char>(random());
+  constexpr std::size_t kTop = 50;
+  const std::string reduced = ReducePart(part, kTop);
+  CHECK(reduced.size() <= 16 * 1024);
+  const std::string other = Record('\x70');
+  CHECK(MergeRecords({&reduced, &other}, kTop) ==
+        MergeRecords({&part, &other}, kTop));
+}
+
 }  // namespace papayaglade
