--- a/src/coordination/answer_memory.cc
+++ b/src/coordination/answer_memory.cc
@@ -20,7 +20,7 @@
 }
 
 // An upstream that sends bytes without end has the largest answer sooner or
-// later, so that sound ones are kept.
+// later, so that answers of the usual size are kept.
 void answer_memory::GiveUpLargest() {
   const auto largest = std::max_element(
       holders_.begin(), holders_.end(),
