Split the choice of a subset and what is known of an upstream from the directory

upstream_subset.cc, known_upstream.h. Whether an upstream has left stood in five places; it is in known_upstream and upstream_restriction. relay_run found legs by number in three ways, the mirror's three feeds were written out.

--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -62,19 +62,9 @@
       selector_({settings.name, settings.data_centre, settings.control,
                  settings.cores},
                 sharing),
-      kinds_{
-          {{object_mirror(kMirroredKinds[0]),
-            store_feed(loop, format, log, settings.store, kMirroredKinds[0],
-                       WatchWait(kMirroredKinds[0], settings.delays, sharing),
-                       HandlersOf(0))},
-           {object_mirror(kMirroredKinds[1]),
-            store_feed(loop, format, log, settings.store, kMirroredKinds[1],
-                       WatchWait(kMirroredKinds[1], settings.delays, sharing),
-                       HandlersOf(1))},
-           {object_mirror(kMirroredKinds[2]),
-            store_feed(loop, format, log, settings.store, kMirroredKinds[2],
-                       WatchWait(kMirroredKinds[2], settings.delays, sharing),
-                       HandlersOf(2))}}} {
+      kinds_{{MakeKind(0, format, settings, sharing),
+              MakeKind(1, format, settings, sharing),
+              MakeKind(2, format, settings, sharing)}} {
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
     if (i != kLivenessKind) kinds_[i].feed.SetResumeRequired();
   }
@@ -86,6 +76,17 @@
        [this](auto link, const std::string& why) { OnClosed(link, why); }});
 }
 
+store_mirror::mirrored_kind store_mirror::MakeKind(
+    std::size_t kind, const store_format& format,
+    const entry_settings& settings, bool sharing) {
+  const stored_kind stored = kMirroredKinds[kind];
+  return {
+      object_mirror(stored),
+      store_feed(loop_, format, log_, settings.store, stored,
+                 WatchWait(stored, settings.delays, sharing), HandlersOf(kind)),
+      std::nullopt};
+}
+
 store_feed::handlers store_mirror::HandlersOf(std::size_t kind) {
   store_feed::handlers result;
   result.on_list = [this, kind](const store_page& page,
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -77,6 +77,8 @@
     monotonic_time last_subscription;
   };
 
+  mirrored_kind MakeKind(std::size_t kind, const store_format& format,
+                         const entry_settings& settings, bool sharing);
   /// Returns the handlers of the feed of one kind, by index.
   store_feed::handlers HandlersOf(std::size_t kind);
   void OnStorePage(std::size_t kind, page_content content, std::int64_t from,
--- a/src/coordination/relay_run.cc
+++ b/src/coordination/relay_run.cc
@@ -11,6 +11,13 @@
 
 using std::chrono::milliseconds;
 
+template <typename Legs>
+auto FindLeg(Legs& legs, std::uint64_t number) {
+  return std::find_if(legs.begin(), legs.end(), [number](const auto& each) {
+    return each.number == number;
+  });
+}
+
 }  // namespace
 
 relay_run::relay_run(relay_request request, upstream_directory& directory,
@@ -40,9 +47,7 @@
 
 void relay_run::OnResult(std::uint64_t number, attempt_result result,
                          monotonic_time now) {
-  const auto found =
-      std::find_if(open_.begin(), open_.end(),
-                   [&](const open_leg& each) { return each.number == number; });
+  const auto found = FindLeg(open_, number);
   if (found == open_.end()) return;
   const auto latency = std::chrono::ceil<milliseconds>(now - found->sent_at);
   const upstream_notice& said = result.notice;
@@ -67,16 +72,12 @@
 
 void relay_run::Cancel(const std::vector<std::uint64_t>& numbers) {
   for (const std::uint64_t number : numbers) {
-    const auto open = std::find_if(
-        open_.begin(), open_.end(),
-        [&](const open_leg& each) { return each.number == number; });
+    const auto open = FindLeg(open_, number);
     if (open != open_.end()) {
       open_.erase(open);
       port_.Abandon(number);
     }
-    const auto part = std::find_if(
-        parts_.begin(), parts_.end(),
-        [&](const relay_part& each) { return each.number == number; });
+    const auto part = FindLeg(parts_, number);
     if (part == parts_.end()) continue;
     bodies_.erase(bodies_.begin() + (part - parts_.begin()));
     parts_.erase(part);
--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -1,10 +1,10 @@
 #include "coordination/upstream_directory.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 #include "coordination/capacity_share.h"
+#include "coordination/upstream_subset.h"
 
 namespace papayaglade {
 
@@ -25,8 +25,6 @@
 // Upstreams keep the connections of instances that lost power for some seconds,
 // while the new processes already open theirs.
 constexpr std::size_t kConnectionGenerations = 2;
-// Leaves room for the connections of instances that have gone.
-constexpr double kConnectionSafetyShare = 0.93;
 // Factor for an upstream outside the subset that this instance keeps
 // connections to.
 constexpr double kOutsideSubsetFactor = 30;
@@ -71,10 +69,7 @@
   if (record.leaving && is_new) return;
   const upstream_restriction* restriction =
       is_new ? restrictions_.Find(record) : nullptr;
-  const bool has_left = restriction != nullptr &&
-                        restriction->usable_until.has_value() &&
-                        *restriction->usable_until <= now;
-  if (has_left) return;
+  if (restriction != nullptr && restriction->HasLeft(now)) return;
   upstream_pointer& known = upstreams_[record.id];
   if (is_new) {
     known = std::make_shared<known_upstream>();
@@ -94,7 +89,7 @@
   known->record = record;
   known->warm_at = now + record.warmup_remaining;
   if (record.leaving) {
-    StartDraining(*known, now);
+    StartDraining(*known, LeavingSince(now));
   } else if (!known->announced_leaving) {
     known->usable_until.reset();
   }
@@ -108,7 +103,7 @@
   if (!leaves && wait.count() == 0) return false;
   if (leaves) {
     upstream.announced_leaving = true;
-    StartDraining(upstream, now);
+    StartDraining(upstream, LeavingSince(now));
   }
   upstream.pause.Start(wait, fleet_, now);
   upstream_restriction restriction;
@@ -122,10 +117,9 @@
 void upstream_directory::Remove(const std::string& id, monotonic_time now) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return;
-  // Comparing the optionals: a time that is not known comes first.
-  if (store_unavailable_at_ > list_confirmed_at_)
-    return AwaitReturn(*found->second, now);
-  StartDraining(*found->second, now);
+  // Without a time, an optional compares as less.
+  const bool may_have_lapsed = store_unavailable_at_ > list_confirmed_at_;
+  StartDraining(*found->second, may_have_lapsed ? now : LeavingSince(now));
 }
 
 void upstream_directory::ConfirmList(monotonic_time time) {
@@ -183,7 +177,7 @@
   upstream_pointer best =
       FindBest(candidates, criteria, share_limit::kPreferred, now);
   // A leaving upstream is asked only if no other one can be.
-  const bool leaves = best != nullptr && best->usable_until.has_value();
+  const bool leaves = best != nullptr && best->IsLeaving();
   if (best != nullptr && !leaves) return best;
   const upstream_pointer other =
       FindBest(candidates, criteria, share_limit::kMaximum, now);
@@ -218,8 +212,8 @@
   upstream_pointer best;
   bool best_leaves = false;
   double lowest_cost = 0;
-  const std::vector<bool> in_subset =
-      SelectSubset(*criteria.service, candidates);
+  const std::vector<bool> in_subset = SelectSubset(
+      candidates, LimitsOf(*criteria.service), data_centre_, fleet_);
   const std::size_t offset = ++rotation_ % candidates.size();
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const std::size_t position = (offset + i) % candidates.size();
@@ -237,7 +231,7 @@
     }
     double cost = Cost(*each, criteria, now);
     if (!in_subset[position]) cost *= kOutsideSubsetFactor;
-    const bool leaves = each->usable_until.has_value();
+    const bool leaves = each->IsLeaving();
     if (best != nullptr) {
       const bool is_cheaper = cost * kTieMargin < lowest_cost;
       const bool is_better = leaves == best_leaves ? is_cheaper : best_leaves;
@@ -317,9 +311,7 @@
     const std::string& service, monotonic_time now) const {
   std::optional<milliseconds> shortest;
   for (const upstream_pointer& each : UpstreamsOf(service)) {
-    const bool has_left =
-        each->usable_until.has_value() && *each->usable_until <= now;
-    if (has_left) continue;
+    if (each->HasLeft(now)) continue;
     const auto blocked =
         std::chrono::ceil<milliseconds>(each->health.BlockedUntil() - now);
     const auto paused =
@@ -359,9 +351,7 @@
 std::vector<std::string> upstream_directory::EraseDrained(monotonic_time now) {
   std::vector<std::string> drained;
   for (const auto& each : upstreams_) {
-    const auto& usable_until = each.second->usable_until;
-    if (usable_until.has_value() && *usable_until <= now)
-      drained.push_back(each.first);
+    if (each.second->HasLeft(now)) drained.push_back(each.first);
   }
   for (const std::string& each : drained) Erase(each);
   return drained;
@@ -369,9 +359,7 @@
 
 bool upstream_directory::IsEligible(const known_upstream& upstream,
                                     monotonic_time now) const {
-  if (upstream.usable_until.has_value() && *upstream.usable_until <= now) {
-    return false;
-  }
+  if (upstream.HasLeft(now)) return false;
   if (closed_data_centres_.count(upstream.record.data_centre) != 0)
     return false;
   if (unreachable_data_centres_.count(upstream.record.data_centre) != 0)
@@ -415,41 +403,6 @@
   return static_cast<double>(recent_requests) + 1 <= share;
 }
 
-std::size_t upstream_directory::SubsetSize(const std::string& service,
-                                           std::size_t upstreams) const {
-  const service_limits* limits = LimitsOf(service);
-  if (limits == nullptr) return upstreams;
-  const double connections = kConnectionSafetyShare *
-                             static_cast<double>(limits->connections) *
-                             static_cast<double>(upstreams);
-  const auto each = static_cast<std::size_t>(
-      connections / static_cast<double>(fleet_.instances));
-  return std::clamp<std::size_t>(each, 1, upstreams);
-}
-
-std::vector<bool> upstream_directory::SelectSubset(
-    const std::string& service,
-    const std::vector<upstream_pointer>& candidates) const {
-  const std::size_t count = candidates.size();
-  std::size_t remaining = SubsetSize(service, count);
-  std::vector<bool> in_subset(count, remaining == count);
-  if (remaining == count) return in_subset;
-  for (std::size_t i = 0; i < count && remaining > 0; ++i) {
-    if (candidates[i]->record.data_centre != data_centre_) continue;
-    in_subset[i] = true;
-    --remaining;
-  }
-  const std::size_t start =
-      fleet_.index + std::hash<std::string>()(service) % count;
-  for (std::size_t i = 0; i < count && remaining > 0; ++i) {
-    const std::size_t position = (start + i) % count;
-    if (in_subset[position]) continue;
-    in_subset[position] = true;
-    --remaining;
-  }
-  return in_subset;
-}
-
 double upstream_directory::Cost(const known_upstream& upstream,
                                 const upstream_criteria& criteria,
                                 monotonic_time now) const {
@@ -468,18 +421,13 @@
   return cost;
 }
 
-void upstream_directory::StartDraining(known_upstream& upstream,
-                                       monotonic_time now) const {
-  if (upstream.usable_until.has_value()) return;
-  const monotonic_time since =
-      std::min(now, list_confirmed_at_.value_or(now - drain_time_));
-  upstream.usable_until = since + drain_time_;
+monotonic_time upstream_directory::LeavingSince(monotonic_time now) const {
+  return std::min(now, list_confirmed_at_.value_or(now - drain_time_));
 }
 
-void upstream_directory::AwaitReturn(known_upstream& upstream,
-                                     monotonic_time now) const {
-  if (!upstream.usable_until.has_value())
-    upstream.usable_until = now + drain_time_;
+void upstream_directory::StartDraining(known_upstream& upstream,
+                                       monotonic_time since) const {
+  if (!upstream.IsLeaving()) upstream.usable_until = since + drain_time_;
 }
 
 }  // namespace papayaglade
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,42 +10,17 @@
 #include <string>
 #include <vector>
 
-#include "coordination/observed_health.h"
+#include "coordination/known_upstream.h"
 #include "coordination/reachability_monitor.h"
-#include "coordination/send_pause.h"
 #include "coordination/upstream_restrictions.h"
 #include "state/entry_messages.h"
 #include "state/entry_settings.h"
 #include "state/fleet_position.h"
 #include "state/route.h"
 #include "state/time.h"
-#include "state/upstream_record.h"
 
 namespace papayaglade {
 
-/// The knowledge of this instance about one upstream.
-struct known_upstream {
-  upstream_record record;
-  observed_health health;
-  /// Set once the upstream drains or is no longer listed in the store. Until
-  /// this time it is asked only if no other upstream of its service can be;
-  /// after it, never.
-  std::optional<monotonic_time> usable_until;
-  /// The process itself has said that it leaves. Its entry does not change
-  /// that.
-  bool announced_leaving = false;
-  /// A pause that the upstream has asked for.
-  send_pause pause;
-  /// The upstream is cold before this time.
-  monotonic_time warm_at;
-  /// Connections that this instance has open or is opening.
-  std::size_t connections = 0;
-  /// Times of the requests sent while cold, within the warm-up window.
-  std::deque<monotonic_time> cold_request_times;
-};
-
-using upstream_pointer = std::shared_ptr<known_upstream>;
-
 /// Criteria for choosing an upstream of a service.
 struct upstream_criteria {
   const std::string* service = nullptr;
@@ -196,25 +170,13 @@
   /// request.
   bool IsWithinWarmupRate(const known_upstream& upstream,
                           monotonic_time now) const;
-  /// Returns to how many of a service's upstreams this instance keeps
-  /// connections.
-  std::size_t SubsetSize(const std::string& service,
-                         std::size_t upstreams) const;
-  /// Marks the candidates to which this instance keeps connections. If
-  /// upstreams accept fewer connections than there are instances, each instance
-  /// keeps to a subset, so that the load spreads evenly.
-  std::vector<bool> SelectSubset(
-      const std::string& service,
-      const std::vector<upstream_pointer>& candidates) const;
   /// Returns the relative expected time of a request; lower is better.
   double Cost(const known_upstream& upstream, const upstream_criteria& criteria,
               monotonic_time now) const;
-  /// Sets `usable_until` if the upstream was not known to leave yet. It may
-  /// have been leaving since the list was confirmed.
-  void StartDraining(known_upstream& upstream, monotonic_time now) const;
-  /// Gives the upstream its drain time from now on, as its entry may only have
-  /// lapsed.
-  void AwaitReturn(known_upstream& upstream, monotonic_time now) const;
+  /// Returns since when an upstream may be leaving whose leaving is learnt now.
+  monotonic_time LeavingSince(monotonic_time now) const;
+  /// Sets `usable_until` if the upstream was not known to leave yet.
+  void StartDraining(known_upstream& upstream, monotonic_time since) const;
 
   std::string data_centre_;
   std::chrono::milliseconds drain_time_;
--- a/src/coordination/upstream_restrictions.h
+++ b/src/coordination/upstream_restrictions.h
@@ -19,6 +19,11 @@
   /// Set once it has said that it leaves: the end of its drain time.
   std::optional<monotonic_time> usable_until;
   send_pause pause;
+
+  /// Returns whether that time is over.
+  bool HasLeft(monotonic_time now) const {
+    return usable_until.has_value() && *usable_until <= now;
+  }
 };
 
 /// Remembers what upstream processes have asked of this instance. It outlives
