Keep no large failure while another upstream is asked

A failure with a body over 16 KB is dropped once another upstream is asked; the caller gets 502 if that brings no answer. It is passed on whole where nothing else is asked.

--- a/src/coordination/request_run.cc
+++ b/src/coordination/request_run.cc
@@ -32,6 +32,8 @@
 constexpr std::size_t kMaxRetriesAfterRefusal = 3;
 constexpr milliseconds kInitialRefusalBackoff{8};
 constexpr std::size_t kMaxUnreachableAttempts = 3;
+// Many runs may keep a failure each while they ask other upstreams.
+constexpr std::size_t kMaxKeptFailureBytes = 16UL * 1024;
 // An upstream is suspect if an attempt has been pending for longer than this
 // many hedge delays.
 constexpr double kSuspectHedgeDelays = 1.2;
@@ -144,6 +146,10 @@
   if (is_done_) return;
   FinishIfSettled(now);
   if (is_done_) return;
+  if (failed_reply_.has_value() &&
+      failed_reply_->body.size() > kMaxKeptFailureBytes) {
+    failed_reply_.reset();
+  }
   const auto timer = NextTimerOf(current, now);
   if (timer.has_value()) next_timer_ = std::min(next_timer_, *timer);
 }
--- a/src/coordination/request_run.h
+++ b/src/coordination/request_run.h
@@ -207,7 +207,8 @@
   /// Time from which a fan-out finishes once its minimum is covered.
   monotonic_time settle_at_;
   monotonic_time next_timer_;
-  /// The latest failure that an upstream answered with.
+  /// The latest failure that an upstream answered with, unless it is large and
+  /// others have been asked since.
   std::optional<upstream_response> failed_reply_;
   std::size_t hedges_ = 0;
   std::size_t retries_ = 0;
--- a/tests/unit/request_run_test.cc
+++ b/tests/unit/request_run_test.cc
@@ -44,6 +44,34 @@
   CHECK(std::get<relayed_answer>(port.answers[0]).reply.status == 500);
 }
 
+// Guards against large failures that many runs keep while they ask others.
+TEST_CASE("a large failure is not kept while another upstream is asked",
+          "[run][memory]") {
+  const std::size_t bytes = GENERATE(1000, 1'000'000);
+  deployment tier;
+  recording_port port;
+  request_run run = tier.Run("pull", port);
+  for (int i = 0; i < 40; ++i) tier.policy.CountRequest("archive", kStart);
+  run.Start(kStart);
+  attempt_result failed = Ended(attempt_end::kFailedAnswer);
+  failed.reply.body = std::string(bytes, 'x');
+  SECTION("the others do not answer") {
+    run.OnResult(1, failed, kStart + milliseconds(5));
+    REQUIRE(port.sent.size() == 2);
+    Advance(run, kStart + milliseconds(5000));
+    REQUIRE(port.answers.size() == 1);
+    CHECK(std::holds_alternative<relayed_answer>(port.answers[0]) ==
+          (bytes == 1000));
+  }
+  SECTION("it is the last answer") {
+    run.OnResult(1, Ended(attempt_end::kBroken), kStart + milliseconds(5));
+    run.OnResult(2, Ended(attempt_end::kBroken), kStart + milliseconds(9));
+    run.OnResult(3, failed, kStart + milliseconds(9));
+    REQUIRE(port.answers.size() == 1);
+    CHECK(std::get<relayed_answer>(port.answers[0]).reply.body.size() == bytes);
+  }
+}
+
 // Guards against failing a request whose answer was lost on a route that allows
 // only one upstream.
 TEST_CASE("with one upstream allowed, the same one is asked again", "[run]") {
