--- a/src/coordination/object_mirror.cc
+++ b/src/coordination/object_mirror.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-// A copy that lacks more changes than this gets all objects.
-constexpr std::size_t kMaxRecentObjects = 200;
+// A copy that lacks more deletions than this gets all objects.
+constexpr std::size_t kMaxDeletions = 200;
 
 }  // namespace
 
@@ -20,7 +20,7 @@
   if (complete_ && page.to <= revision_) return std::nullopt;
   if (!IsApplicable(page)) return std::nullopt;
   std::vector<mirrored_object> changes = ComputeChanges(page);
-  for (const mirrored_object& each : changes) ApplyObject(each);
+  for (const mirrored_object& each : changes) ApplyObject(each, page.to);
   RecordPage(page);
   complete_ = true;
   revision_ = page.to;
@@ -40,15 +40,19 @@
 }
 
 // The digest is a sum, so it does not depend on the order of changes.
-void object_mirror::ApplyObject(const mirrored_object& object) {
-  const auto known = documents_.find(object.name);
-  if (known != documents_.end()) {
-    digest_ -= RendezvousWeight(known->first, known->second);
-    documents_.erase(known);
+void object_mirror::ApplyObject(const mirrored_object& object,
+                                std::int64_t revision) {
+  const auto known = objects_.find(object.name);
+  if (known != objects_.end()) {
+    const std::string& document = known->second.document;
+    digest_ -= RendezvousWeight(known->first, document);
+    bytes_ -= known->first.size() + document.size();
+    objects_.erase(known);
   }
   if (object.deleted) return;
-  documents_[object.name] = object.document;
+  objects_[object.name] = {object.document, revision};
   digest_ += RendezvousWeight(object.name, object.document);
+  bytes_ += object.name.size() + object.document.size();
 }
 
 // Pages from several sources overlap. Older states of an object within a page
@@ -59,15 +63,15 @@
   for (const mirrored_object& each : page.objects) last[each.name] = &each;
   std::vector<mirrored_object> changes;
   for (const auto& each : last) {
-    const auto known = documents_.find(each.first);
-    const bool unchanged = each.second->deleted
-                               ? known == documents_.end()
-                               : known != documents_.end() &&
-                                     known->second == each.second->document;
+    const auto known = objects_.find(each.first);
+    const bool unchanged = each.second->deleted ? known == objects_.end()
+                                                : known != objects_.end() &&
+                                                      known->second.document ==
+                                                          each.second->document;
     if (!unchanged) changes.push_back(*each.second);
   }
   if (page.content != page_content::kWhole) return changes;
-  for (const auto& each : documents_) {
+  for (const auto& each : objects_) {
     if (last.count(each.first) == 0) {
       changes.push_back({each.first, true, ""});
     }
@@ -75,26 +79,26 @@
   return changes;
 }
 
-// Keeps the page unchanged: an object that is no change here may be one for a
-// copy that is between the page's revisions. Only pages of changes can serve
-// such a copy.
+// Includes the objects that are no change here, because they may be one for a
+// copy that is between the page's revisions. Only pages of changes tell of all
+// changes, so after other pages such a copy gets all objects.
 void object_mirror::RecordPage(const mirror_page& page) {
-  if (page.content != page_content::kChanges) {
-    recent_pages_.clear();
-    recent_objects_ = 0;
-    return;
-  }
-  if (page.objects.empty()) {
-    if (!recent_pages_.empty()) recent_pages_.back().to = page.to;
-    return;
-  }
-  recent_pages_.push_back(page);
-  recent_pages_.back().from = revision_;
-  recent_objects_ += page.objects.size();
-  while (recent_objects_ > kMaxRecentObjects) {
-    recent_objects_ -= recent_pages_.front().objects.size();
-    recent_pages_.pop_front();
+  if (page.content != page_content::kChanges)
+    return ForgetChangesBefore(page.to);
+  for (const mirrored_object& each : page.objects) {
+    const auto known = objects_.find(each.name);
+    if (known != objects_.end()) known->second.changed_at = page.to;
+    if (each.deleted) deletions_.push_back({each.name, page.to});
   }
+  if (deletions_.size() <= kMaxDeletions) return;
+  const std::size_t excess = deletions_.size() - kMaxDeletions;
+  ForgetChangesBefore(deletions_[excess - 1].revision);
+}
+
+void object_mirror::ForgetChangesBefore(std::int64_t revision) {
+  changes_known_from_ = revision;
+  while (!deletions_.empty() && deletions_.front().revision <= revision)
+    deletions_.pop_front();
 }
 
 // Without a look at the objects, changes that are still to come would be taken
@@ -116,16 +120,18 @@
   const bool first = position.revision == 0;
   if (!first && position.digest == digest_) return MakeDifference(digest_, {});
   const std::int64_t from = position.revision;
-  if (recent_pages_.empty() || from < recent_pages_.front().from)
-    return MakeWholePage();
+  if (from < changes_known_from_) return MakeWholePage();
   mirror_page page;
   page.kind = kind_;
   page.from = from;
   page.to = revision_;
-  for (const mirror_page& each : recent_pages_) {
-    if (each.to <= from) continue;
-    page.objects.insert(page.objects.end(), each.objects.begin(),
-                        each.objects.end());
+  for (const deletion& each : deletions_) {
+    if (each.revision > from && objects_.count(each.name) == 0)
+      page.objects.push_back({each.name, true, ""});
+  }
+  for (const auto& each : objects_) {
+    if (each.second.changed_at > from)
+      page.objects.push_back({each.first, false, each.second.document});
   }
   return page;
 }
@@ -150,9 +156,9 @@
   page.kind = kind_;
   page.content = page_content::kWhole;
   page.to = revision_;
-  page.objects.reserve(documents_.size());
-  for (const auto& each : documents_) {
-    page.objects.push_back({each.first, false, each.second});
+  page.objects.reserve(objects_.size());
+  for (const auto& each : objects_) {
+    page.objects.push_back({each.first, false, each.second.document});
   }
   return page;
 }
--- a/src/coordination/object_mirror.h
+++ b/src/coordination/object_mirror.h
@@ -13,8 +13,9 @@
 
 namespace papayaglade {
 
-/// A copy of the store's objects of one kind, with their recent changes. Its
-/// revision never decreases, whichever source a page comes from.
+/// A copy of the store's objects of one kind, which knows what has changed
+/// recently. It keeps the latest state of an object only. Its revision never
+/// decreases, whichever source a page comes from.
 class object_mirror {
  public:
   explicit object_mirror(stored_kind kind) : kind_(kind) {}
@@ -28,7 +29,8 @@
   /// objects. Returns false if it lacks changes up to that position.
   bool AdvanceTo(const mirror_position& position);
 
-  /// Returns what a copy at `position` lacks, or nothing if it lacks nothing.
+  /// Returns what a copy at `position` lacks, each object once in its latest
+  /// state, or nothing if it lacks nothing.
   std::optional<mirror_page> PageSince(const mirror_position& position) const;
 
   /// Returns the page for copies that equal this one before `changes`; `base`
@@ -44,28 +46,44 @@
   /// Returns whether a whole page was applied.
   bool IsComplete() const { return complete_; }
   std::int64_t Revision() const { return revision_; }
-  std::size_t Size() const { return documents_.size(); }
+  std::size_t Size() const { return objects_.size(); }
+  /// Returns the bytes of all names and documents.
+  std::size_t Bytes() const { return bytes_; }
 
  private:
+  struct object_state {
+    std::string document;
+    /// Revision at which the document is known to be the latest one.
+    std::int64_t changed_at = 0;
+  };
+  struct deletion {
+    std::string name;
+    std::int64_t revision = 0;
+  };
+
   mirror_page MakeWholePage() const;
   /// Returns whether the page starts from what this copy holds.
   bool IsApplicable(const mirror_page& page) const;
-  void ApplyObject(const mirrored_object& object);
+  void ApplyObject(const mirrored_object& object, std::int64_t revision);
   /// Returns the changes that the page makes to this copy, each object once.
   std::vector<mirrored_object> ComputeChanges(const mirror_page& page) const;
-  /// Keeps a page of changes for PageSince and discards the oldest pages.
+  /// Notes when the objects of a page changed, for PageSince.
   void RecordPage(const mirror_page& page);
+  /// Forgets what changed before `revision`.
+  void ForgetChangesBefore(std::int64_t revision);
 
   stored_kind kind_;
   bool complete_ = false;
   std::int64_t revision_ = 0;
   std::uint64_t digest_ = 0;
-  /// The documents, keyed by object name.
-  std::map<std::string, std::string> documents_;
-  /// Recent changes; each page begins at the revision where the one before it
-  /// ends.
-  std::deque<mirror_page> recent_pages_;
-  std::size_t recent_objects_ = 0;
+  std::size_t bytes_ = 0;
+  /// The objects, keyed by name.
+  std::map<std::string, object_state> objects_;
+  /// Deletions after `changes_known_from_`, oldest first. An object may have
+  /// been created again since.
+  std::deque<deletion> deletions_;
+  /// All changes after this revision are known.
+  std::int64_t changes_known_from_ = 0;
 };
 
 }  // namespace papayaglade
--- a/tests/soak/stop_cases.py
+++ b/tests/soak/stop_cases.py
@@ -12,6 +12,7 @@
 from .case_tier import (CASE_TIMEOUT_S, DRAIN_TIMEOUT_S, Tier, all_answered,
                         outcome)
 from .drain_cases import DRAIN_CASES
+from .follower_cases import FOLLOWER_CASES
 from .instance import SHUTDOWN_TIMEOUT_S
 from .ledger import Ledger
 from .memory_cases import LARGE_BYTES, MEMORY_CASES
@@ -246,7 +247,7 @@
 BULKY_CASES = [reset_destroys_an_answer, too_large_while_sending,
                reader_pauses, slow_reader_at_the_end,
                answer_too_long_for_the_end, *MEMORY_CASES,
-               *ENDLESS_CASES]
+               *ENDLESS_CASES, *FOLLOWER_CASES]
 
 
 class StopCases:
--- a/tests/unit/object_mirror_test.cc
+++ b/tests/unit/object_mirror_test.cc
@@ -136,8 +136,45 @@
   for (int i = 0; i < 1000; ++i) {
     mirror.Apply(Page(16 + i, 17 + i, {{"c", false, std::to_string(i)}}));
   }
-  CHECK(mirror.PageSince({kKind, 16, 0})->content == page_content::kWhole);
+  const auto missed = mirror.PageSince({kKind, 16, 0});
+  REQUIRE(missed.has_value());
+  CHECK(missed->content == page_content::kChanges);
+  REQUIRE(missed->objects.size() == 1);
+  CHECK(missed->objects.at(0).document == "999");
   CHECK(mirror.PageSince({kKind, 1010, 0})->content == page_content::kChanges);
+  for (int i = 0; i < 1000; ++i) {
+    const std::string name = "short-lived-" + std::to_string(i);
+    mirror.Apply(Page(1016 + i, 1017 + i, {{name, true, ""}}));
+  }
+  CHECK(mirror.PageSince({kKind, 16, 0})->content == page_content::kWhole);
+  CHECK(mirror.PageSince({kKind, 1016, 0})->content == page_content::kWhole);
+  CHECK(mirror.PageSince({kKind, 2010, 0})->content == page_content::kChanges);
+}
+
+// Guards against LOST: a process that is asked for what was missed answers with
+// all states of an object, which takes it over its memory.
+TEST_CASE("what a copy lacks is no larger than the whole copy", "[mirror]") {
+  constexpr std::size_t kDocumentBytes = 10'000;
+  constexpr int kChanges = 150;
+  object_mirror mirror = MirrorOf(
+      {{"a", false, "1"}, {"b", false, std::string(kDocumentBytes, 'b')}}, 10);
+  for (int i = 0; i < kChanges; ++i) {
+    const std::string document =
+        std::string(kDocumentBytes, 'a') + std::to_string(i);
+    mirror.Apply(Page(10 + 3 * i, 11 + 3 * i, {{"a", false, document}}));
+    mirror.Apply(Page(11 + 3 * i, 12 + 3 * i, {{"c", false, document}}));
+    mirror.Apply(Page(12 + 3 * i, 13 + 3 * i, {{"c", true, ""}}));
+  }
+  const std::size_t whole = mirror.Bytes();
+  CHECK(whole < 3 * kDocumentBytes);
+  for (std::int64_t from = 1; from < mirror.Revision(); ++from) {
+    const auto page = mirror.PageSince({kKind, from, 0});
+    REQUIRE(page.has_value());
+    std::size_t bytes = 0;
+    for (const mirrored_object& each : page->objects)
+      bytes += each.document.size();
+    CHECK(bytes <= whole);
+  }
 }
 
 TEST_CASE("a difference applies only to a copy of the same objects",
