Bound what followers have not read by the size of the copy

What callers saw, in the new soak case memory_of_silent_followers: 60 instances that follow a small one (160 MB) are cut off, and 40 configurations of 0.9 MB are written before they are given up.

The limit of a link was checked before a message was added, what was being written did not count, and each link had a copy of its own. A returning follower also asked once for each of the reports that had been held up, and each answer was a page.

Change: links share one encoded frame, count it until it is written, and are checked with the message that is added; all links together have a limit, too. mirror_followers sends no page to a follower that does not read, or for which there is no room; the next report shows the follower that it lacks something, and it asks. So no queue of changes is needed: the copy is the queue. The links of `serve` use the same frames and the same check.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -193,8 +193,12 @@
             std::to_string(applier_.UnreadableCount() +
                            mirror_.UnnamedEntryCount()) +
             "\n";
-    text += "papayaglade_followers " + std::to_string(mirror_.FollowerCount()) +
-            "\n";
+    const mirror_followers& followers = mirror_.Followers();
+    text += "papayaglade_followers " + std::to_string(followers.Size()) + "\n";
+    text += "papayaglade_unsent_page_bytes " +
+            std::to_string(followers.UnsentPageBytes()) + "\n";
+    text += "papayaglade_follower_pages_deferred_total " +
+            std::to_string(followers.DeferredPageCount()) + "\n";
     return {200, text};
   }
 
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -23,7 +23,9 @@
 constexpr milliseconds kStartupInterval{100};
 // Subscribing again also repairs missed changes.
 constexpr milliseconds kSubscribeInterval{2000};
-constexpr milliseconds kFollowerTimeout{7000};
+// Shorter than the interval of reports, each of which may show anew that
+// something is missed.
+constexpr milliseconds kMinAskInterval{200};
 // Other instances are asked if the store has not answered completely within
 // this time after the start of the watches.
 constexpr milliseconds kFirstAnswerTimeout{700};
@@ -64,7 +66,8 @@
                 sharing),
       kinds_{{MakeKind(0, format, settings, sharing),
               MakeKind(1, format, settings, sharing),
-              MakeKind(2, format, settings, sharing)}} {
+              MakeKind(2, format, settings, sharing)}},
+      followers_(log, links) {
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
     if (i != kLivenessKind) kinds_[i].feed.SetResumeRequired();
   }
@@ -127,8 +130,7 @@
 void store_mirror::StopServing() {
   serving_ = false;
   links_.StopAccepting();
-  for (const auto& each : followers_) links_.Close(each.first);
-  followers_.clear();
+  followers_.CloseAll();
 }
 
 void store_mirror::SetMembers(const std::vector<fleet_member>& members) {
@@ -210,9 +212,9 @@
     // long, so only the difference is sent.
     mirror_page difference = own.objects.MakeDifference(before, *changes);
     difference.confirmed_age = page.confirmed_age;
-    SendToFollowers(difference);
+    followers_.Send(difference, CopyBytes());
   } else if (!complete || !page.objects.empty()) {
-    SendToFollowers(page);
+    followers_.Send(page, CopyBytes());
   }
   if (!changes->empty()) {
     std::vector<stored_object> objects;
@@ -231,12 +233,6 @@
   links_.Send(link, EncodeMirrorMessage(message));
 }
 
-void store_mirror::SendToFollowers(const mirror_message& message) {
-  if (followers_.empty()) return;
-  const std::string bytes = EncodeMirrorMessage(message);
-  for (const auto& each : followers_) links_.Send(each.first, bytes);
-}
-
 void store_mirror::OnStoreLost() {
   for (mirrored_kind& each : kinds_) each.feed.FailPendingWatch();
   // This feed is between two calls, so it cannot detect yet whether the store
@@ -258,10 +254,10 @@
 }
 
 void store_mirror::Tick(monotonic_time now) {
-  DropExpiredFollowers(now);
+  followers_.RemoveExpired(now);
   if (now - last_subscribe_time_ >= kSubscribeInterval) {
     last_subscribe_time_ = now;
-    for (const auto& each : sources_) Subscribe(each.first);
+    for (auto& each : sources_) Subscribe(each.first, each.second);
   }
   UpdateSources(now);
   ReportState();
@@ -271,9 +267,9 @@
   selector_.SetStoreReachable(IsStoreAnswering(now), now);
   const source_selector::link_changes link_update = selector_.UpdateLinks(now);
   for (const std::string& name : link_update.close) {
-    const auto found =
-        std::find_if(sources_.begin(), sources_.end(),
-                     [&](const auto& each) { return each.second == name; });
+    const auto found = std::find_if(
+        sources_.begin(), sources_.end(),
+        [&](const auto& each) { return each.second.instance == name; });
     if (found == sources_.end()) continue;
     links_.Close(found->first);
     sources_.erase(found);
@@ -284,7 +280,7 @@
 }
 
 void store_mirror::Dial(const fleet_member& member) {
-  sources_[links_.Dial(member.control)] = member.name;
+  sources_[links_.Dial(member.control)].instance = member.name;
 }
 
 void store_mirror::SetWatching(bool watching) {
@@ -297,7 +293,7 @@
       structured_log::kind::kEvent,
       log_line(watching ? "store_watched" : "store_followed")
           .With("sources", static_cast<std::int64_t>(sources))
-          .With("followers", static_cast<std::int64_t>(followers_.size())));
+          .With("followers", static_cast<std::int64_t>(followers_.Size())));
 }
 
 void store_mirror::ReportState() {
@@ -308,10 +304,10 @@
         log_line("mirror_state")
             .With("state", SourceStateName(state))
             .With("before", SourceStateName(reported_state_))
-            .With("followers", static_cast<std::int64_t>(followers_.size())));
+            .With("followers", static_cast<std::int64_t>(followers_.Size())));
   }
   reported_state_ = state;
-  SendToFollowers(MakeReport(state));
+  followers_.Send(MakeReport(state));
 }
 
 source_report store_mirror::MakeReport(source_state state) const {
@@ -333,11 +329,22 @@
 }
 
 void store_mirror::OnOpen(instance_links::id link) {
-  if (sources_.count(link) != 0) Subscribe(link);
+  const auto opened = sources_.find(link);
+  if (opened != sources_.end()) Subscribe(link, opened->second);
 }
 
-void store_mirror::Subscribe(instance_links::id link) {
-  Send(link, mirror_subscription{name_, Positions()});
+void store_mirror::Subscribe(instance_links::id link, source& from) {
+  from.asked_positions = Positions();
+  from.asked_at = loop_context::Now();
+  Send(link, mirror_subscription{name_, from.asked_positions});
+}
+
+// A link that was held up delivers many reports at once, and each answer may be
+// as large as the copy.
+void store_mirror::AskForMissed(instance_links::id link, source& from) {
+  const bool is_asked = loop_context::Now() - from.asked_at < kMinAskInterval &&
+                        from.asked_positions == Positions();
+  if (!is_asked) Subscribe(link, from);
 }
 
 bool store_mirror::OnMessage(instance_links::id link,
@@ -352,36 +359,35 @@
 void store_mirror::Receive(instance_links::id link,
                            const mirror_subscription& message) {
   if (!serving_) return links_.Close(link);
-  const bool known = followers_.count(link) != 0;
   const monotonic_time now = loop_context::Now();
-  followers_[link] = {message.instance, now};
+  const bool is_new = followers_.Add(link, message.instance, now);
   for (const mirror_position& each : message.positions) {
     const std::size_t kind = IndexOf(each.kind);
     if (kind == kinds_.size()) continue;
     const auto page = kinds_[kind].objects.PageSince(each);
-    if (page.has_value()) Send(link, *page);
+    if (page.has_value()) followers_.SendMissed(link, *page, CopyBytes());
   }
-  if (known) return;
-  log_.Write(structured_log::kind::kEvent,
-             log_line("follower_linked").With("instance", message.instance));
+  if (!is_new) return;
   Send(link, fleet_report{members_});
   Send(link, MakeReport(State(now)));
 }
 
 void store_mirror::Receive(instance_links::id link, mirror_page page) {
-  if (sources_.count(link) == 0) return;
+  const auto from = sources_.find(link);
+  if (from == sources_.end()) return;
   const std::size_t kind = IndexOf(page.kind);
   if (kind == kinds_.size()) return;
   const bool newer = page.to > kinds_[kind].objects.Revision();
-  if (!ApplyPage(kind, std::move(page)) && newer) Subscribe(link);
+  const bool applied = ApplyPage(kind, std::move(page));
+  if (!applied && newer) AskForMissed(link, from->second);
 }
 
 void store_mirror::Receive(instance_links::id link,
                            const source_report& report) {
-  const auto source = sources_.find(link);
-  if (source == sources_.end()) return;
+  const auto from = sources_.find(link);
+  if (from == sources_.end()) return;
   const monotonic_time now = loop_context::Now();
-  selector_.OnReport(source->second, report.state, now);
+  selector_.OnReport(from->second.instance, report.state, now);
   if (report.state == source_state::kWatching) last_answer_ = now;
   bool lacks_changes = false;
   for (const mirror_position& each : report.positions) {
@@ -390,14 +396,18 @@
     mirrored_kind& own = kinds_[kind];
     const bool has_changes = own.objects.AdvanceTo(each);
     if (!has_changes) lacks_changes = true;
-    if (!own.objects.IsComplete()) continue;
+    if (!own.objects.IsComplete()) {
+      // The answer to the first subscription may have been deferred.
+      if (each.revision > 0) lacks_changes = true;
+      continue;
+    }
     own.feed.SkipTo(own.objects.Revision());
     const bool is_confirmed = has_changes && kind == kUpstreamsKind &&
                               report.upstreams_confirmed_age.has_value();
     if (is_confirmed) Confirm(kind, now - *report.upstreams_confirmed_age);
   }
   if (report.store_unavailable) OnStoreUnavailable();
-  if (lacks_changes) Subscribe(link);
+  if (lacks_changes) AskForMissed(link, from->second);
   UpdateSources(now);
 }
 
@@ -408,36 +418,17 @@
 }
 
 void store_mirror::OnClosed(instance_links::id link, const std::string& why) {
-  const auto source = sources_.find(link);
-  if (source != sources_.end()) {
-    const std::string name = source->second;
-    sources_.erase(source);
+  const auto lost = sources_.find(link);
+  if (lost != sources_.end()) {
+    const std::string name = lost->second.instance;
+    sources_.erase(lost);
     const monotonic_time now = loop_context::Now();
     selector_.OnClosed(name, now);
     log_.Write(structured_log::kind::kEvent,
                log_line("source_lost").With("instance", name).With("why", why));
     return UpdateSources(now);
   }
-  const auto known = followers_.find(link);
-  if (known == followers_.end()) return;
-  log_.Write(structured_log::kind::kEvent,
-             log_line("follower_left")
-                 .With("instance", known->second.instance)
-                 .With("why", why));
-  followers_.erase(known);
-}
-
-void store_mirror::DropExpiredFollowers(monotonic_time now) {
-  std::vector<instance_links::id> expired;
-  for (const auto& each : followers_) {
-    if (now - each.second.last_subscription > kFollowerTimeout) {
-      expired.push_back(each.first);
-    }
-  }
-  for (const instance_links::id each : expired) {
-    links_.Close(each);
-    OnClosed(each, "silent");
-  }
+  followers_.Remove(link, why);
 }
 
 std::vector<mirror_position> store_mirror::Positions() const {
@@ -448,4 +439,10 @@
   return positions;
 }
 
+std::size_t store_mirror::CopyBytes() const {
+  std::size_t bytes = 0;
+  for (const mirrored_kind& each : kinds_) bytes += each.objects.Bytes();
+  return bytes;
+}
+
 }  // namespace papayaglade
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "app/mirror_followers.h"
 #include "app/store_feed.h"
 #include "app/structured_log.h"
 #include "coordination/object_mirror.h"
@@ -63,7 +64,7 @@
   std::uint64_t StoreCallCount() const;
   /// Returns the number of the store's entries without a usable name.
   std::uint64_t UnnamedEntryCount() const;
-  std::size_t FollowerCount() const { return followers_.size(); }
+  const mirror_followers& Followers() const { return followers_; }
 
  private:
   struct mirrored_kind {
@@ -72,9 +73,11 @@
     /// The latest time at which the copy was known to be that of the store.
     std::optional<monotonic_time> confirmed_at;
   };
-  struct follower {
+  /// A source, and what it was asked for last.
+  struct source {
     std::string instance;
-    monotonic_time last_subscription;
+    std::vector<mirror_position> asked_positions;
+    monotonic_time asked_at;
   };
 
   mirrored_kind MakeKind(std::size_t kind, const store_format& format,
@@ -92,8 +95,6 @@
   /// Returns whether the page was applicable and newer than the copy.
   bool ApplyPage(std::size_t kind, mirror_page page);
   void Send(instance_links::id link, const mirror_message& message);
-  /// Sends `message` to all followers and encodes it only once.
-  void SendToFollowers(const mirror_message& message);
   /// Handles a failed call of one feed.
   void OnStoreLost();
   void ResumeFeeds();
@@ -123,9 +124,13 @@
   void Receive(instance_links::id link, const source_report& report);
   void Receive(instance_links::id link, const fleet_report& report);
   /// Sends this instance's positions to a source and asks for what is newer.
-  void Subscribe(instance_links::id link);
-  void DropExpiredFollowers(monotonic_time now);
+  void Subscribe(instance_links::id link, source& from);
+  /// Asks a source for what this instance lacks, unless the source is about to
+  /// answer the same question.
+  void AskForMissed(instance_links::id link, source& from);
   std::vector<mirror_position> Positions() const;
+  /// Returns the bytes of all copies.
+  std::size_t CopyBytes() const;
 
   loop_context& loop_;
   structured_log& log_;
@@ -137,10 +142,9 @@
   source_selector selector_;
   std::array<mirrored_kind, kMirroredKinds.size()> kinds_;
   std::vector<fleet_member> members_;
-  /// Names of the sources, by link.
-  std::map<instance_links::id, std::string> sources_;
-  /// The followers, keyed by link.
-  std::map<instance_links::id, follower> followers_;
+  /// The sources, keyed by link.
+  std::map<instance_links::id, source> sources_;
+  mirror_followers followers_;
   /// State last reported to the followers.
   source_state reported_state_ = source_state::kFollowing;
   bool watching_ = false;
--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -182,6 +182,10 @@
   return EncodeCbor(std::visit(encoder{}, message));
 }
 
+std::string EncodeMirrorPage(const mirror_page& page) {
+  return EncodeCbor(encoder{}(page));
+}
+
 std::optional<mirror_message> DecodeMirrorMessage(const std::string& bytes) {
   return DecodeCborArray<std::optional<mirror_message>>(bytes, Decode);
 }
--- a/src/protocol/mirror_codec.h
+++ b/src/protocol/mirror_codec.h
@@ -11,6 +11,8 @@
 
 /// Encodes `message` as one CBOR array.
 std::string EncodeMirrorMessage(const mirror_message& message);
+/// Encodes a page, which may be large, without a copy of it.
+std::string EncodeMirrorPage(const mirror_page& page);
 
 /// Returns std::nullopt if `bytes` is not a well-formed message.
 std::optional<mirror_message> DecodeMirrorMessage(const std::string& bytes);
--- a/src/state/mirror_message.h
+++ b/src/state/mirror_message.h
@@ -50,6 +50,10 @@
   std::uint64_t digest = 0;
 };
 
+inline bool operator==(const mirror_position& a, const mirror_position& b) {
+  return a.kind == b.kind && a.revision == b.revision && a.digest == b.digest;
+}
+
 /// One instance as listed in the store.
 struct fleet_member {
   std::string name;
--- a/src/transport/instance_links.cc
+++ b/src/transport/instance_links.cc
@@ -17,8 +17,8 @@
 
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::size_t kMaxMessageBytes = 8UL * 1024 * 1024;
-constexpr std::size_t kMaxBufferedBytes = 4UL * 1024 * 1024;
 constexpr std::size_t kMaxLinks = 256;
+constexpr char kDoesNotRead[] = "it does not read what it is sent";
 constexpr std::chrono::milliseconds kHandshakeTimeout{1000};
 
 // Buffers are small and timeouts short, because an instance has little memory
@@ -98,34 +98,91 @@
     return link;
   }
 
-  void Send(id link, const std::string& bytes) {
+  void Send(id link, std::string message) {
     const auto found = links_.find(link);
     if (found == links_.end()) return;
-    const link_state state = found->second;
-    if (endpoints_.BufferedBytes(state.handle, state.dialled) >
-        kMaxBufferedBytes) {
-      return CloseAndNotify(link, "it does not read what it is sent");
-    }
-    const auto failed = endpoints_.Send(state.handle, state.dialled, bytes);
-    if (failed) CloseAndNotify(link, failed.message());
+    const link_end sender =
+        found->second.dialled ? link_end::kDialling : link_end::kAccepting;
+    SendFrame(link, found->second, MakeLinkFrame(std::move(message), sender));
+  }
+
+  void Send(id link, const link_frame_pointer& frame) {
+    const auto found = links_.find(link);
+    if (found == links_.end()) return;
+    if (found->second.dialled) return Send(link, frame->get_payload());
+    SendFrame(link, found->second, frame);
+  }
+
+  std::size_t UnsentBytes(id link) const {
+    const auto found = links_.find(link);
+    return found == links_.end() ? 0 : found->second.unsent.Bytes();
+  }
+
+  std::optional<monotonic_time> UnsentSince(id link) const {
+    const auto found = links_.find(link);
+    if (found == links_.end()) return std::nullopt;
+    return found->second.unsent.WaitingSince();
   }
 
   void Close(id link) {
     const auto found = links_.find(link);
     if (found == links_.end()) return;
     const link_state state = found->second;
-    ids_.erase(state.handle);
-    links_.erase(found);
+    Erase(link, state.handle);
     CloseHandle(state.handle, state.dialled);
   }
 
+  void Abort(id link, const std::string& why) {
+    const auto found = links_.find(link);
+    if (found == links_.end()) return;
+    const link_state state = found->second;
+    Erase(link, state.handle);
+    endpoints_.Terminate(state.handle, state.dialled);
+    ScheduleOnClosed(link, why);
+  }
+
  private:
   struct link_state {
     link_handle handle;
     /// True if this instance opened the link; false if it accepted it.
     bool dialled = false;
+    unsent_frames unsent;
   };
 
+  // The limit is checked before a frame is added, because a link that is cut
+  // off holds all it is given.
+  void SendFrame(id link, link_state& state, const link_frame_pointer& frame) {
+    const std::size_t unsent = state.unsent.Bytes();
+    const std::size_t bytes = frame->get_payload().size();
+    if (unsent > 0 && unsent + bytes > kMaxUnsentBytes)
+      return Abort(link, kDoesNotRead);
+    const monotonic_time now = loop_context::Now();
+    state.unsent.Add(frame, now);
+    unsent_of_all_.Add(frame, now);
+    const auto failed = endpoints_.Send(state.handle, state.dialled, frame);
+    if (failed) return Abort(link, failed.message());
+    if (unsent_of_all_.Bytes() > kMaxUnsentBytesOfAll) AbortSlowest();
+  }
+
+  // Ends the link that has waited longest to send what it holds.
+  void AbortSlowest() {
+    std::optional<monotonic_time> earliest;
+    id slowest = 0;
+    for (const auto& each : links_) {
+      const auto since = each.second.unsent.WaitingSince();
+      if (!since.has_value()) continue;
+      if (earliest.has_value() && *since >= *earliest) continue;
+      earliest = since;
+      slowest = each.first;
+    }
+    Abort(slowest, kDoesNotRead);
+  }
+
+  void Erase(id link, const link_handle& handle) {
+    ids_.erase(handle);
+    links_.erase(link);
+  }
+
   template <typename Endpoint>
   void SetHandlers(Endpoint& end) {
     end.set_message_handler(
@@ -139,7 +196,7 @@
 
   id Add(const link_handle& handle, bool dialled) {
     const id link = ++last_id_;
-    links_[link] = {handle, dialled};
+    links_[link] = {handle, dialled, {}};
     ids_[handle] = link;
     return link;
   }
@@ -152,7 +209,9 @@
         handlers_.begin(), handlers_.end(), [&](const handlers& each) {
           return each.on_message && each.on_message(link, bytes);
         });
-    if (!taken) CloseAndNotify(link, "unreadable message");
+    if (taken) return;
+    Close(link);
+    ScheduleOnClosed(link, "unreadable message");
   }
 
   void NotifyOpen(id link) {
@@ -171,16 +230,10 @@
     const auto found = ids_.find(handle);
     if (found == ids_.end()) return;
     const id link = found->second;
-    ids_.erase(found);
-    links_.erase(link);
+    Erase(link, handle);
     NotifyClosed(link, why);
   }
 
-  void CloseAndNotify(id link, const std::string& why) {
-    Close(link);
-    ScheduleOnClosed(link, why);
-  }
-
   // on_closed runs later, because the caller may be iterating over its links.
   void ScheduleOnClosed(id link, const std::string& why) {
     loop_.ScheduleAfter(
@@ -196,6 +249,8 @@
   std::vector<handlers> handlers_;
   link_endpoints endpoints_;
   id last_id_ = 0;
+  /// Every frame once, however many links send it.
+  unsent_frames unsent_of_all_;
   std::map<id, link_state> links_;
   std::map<link_handle, id, std::owner_less<link_handle>> ids_;
 };
@@ -219,8 +274,24 @@
   implementation_->AddHandlers(std::move(handlers));
 }
 
-void instance_links::Send(id link, const std::string& message) {
-  implementation_->Send(link, message);
+void instance_links::Send(id link, std::string message) {
+  implementation_->Send(link, std::move(message));
+}
+
+void instance_links::Send(id link, const link_frame_pointer& frame) {
+  implementation_->Send(link, frame);
+}
+
+std::size_t instance_links::UnsentBytes(id link) const {
+  return implementation_->UnsentBytes(link);
+}
+
+std::optional<monotonic_time> instance_links::UnsentSince(id link) const {
+  return implementation_->UnsentSince(link);
+}
+
+void instance_links::Abort(id link, const std::string& why) {
+  implementation_->Abort(link, why);
 }
 
 void instance_links::Close(id link) { implementation_->Close(link); }
--- a/src/transport/instance_links.h
+++ b/src/transport/instance_links.h
@@ -1,12 +1,15 @@
 #ifndef PAPAYAGLADE_TRANSPORT_INSTANCE_LINKS_H_
 #define PAPAYAGLADE_TRANSPORT_INSTANCE_LINKS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "state/identity.h"
+#include "transport/link_frame.h"
 #include "transport/loop_context.h"
 
 namespace papayaglade {
@@ -18,6 +21,9 @@
  public:
   using id = std::uint64_t;
 
+  static constexpr std::size_t kMaxUnsentBytes = 8UL * 1024 * 1024;
+  static constexpr std::size_t kMaxUnsentBytesOfAll = 16UL * 1024 * 1024;
+
   struct handlers {
     std::function<void(id)> on_open;
     /// Returns false if the message is for another component or unreadable.
@@ -43,12 +49,24 @@
   /// Opens a link to `address`. Reports through on_open or on_closed, neither
   /// of which runs before Dial returns.
   id Dial(const endpoint& address);
-  /// Sends `message` on `link`. Closes the link and calls on_closed later if
-  /// the message cannot be sent or too many bytes are buffered. Does nothing
-  /// for an unknown link.
-  void Send(id link, const std::string& message);
+  /// Sends `message` on `link`. Aborts the link if the message cannot be sent
+  /// or the link would hold more than kMaxUnsentBytes; a single message may be
+  /// larger. If all links would hold more than kMaxUnsentBytesOfAll, aborts
+  /// the one that has waited longest. Does nothing for an unknown link.
+  void Send(id link, std::string message);
+  /// Sends a frame that MakeLinkFrame has made for an accepting end, and which
+  /// other links may send as well.
+  void Send(id link, const link_frame_pointer& frame);
+  /// Returns how many bytes the link holds that are not sent yet.
+  std::size_t UnsentBytes(id link) const;
+  /// Returns since when the link has held bytes that are not sent yet, if it
+  /// does.
+  std::optional<monotonic_time> UnsentSince(id link) const;
   /// Closes the link without calling on_closed.
   void Close(id link);
+  /// Ends the link at once, without what it has not sent yet, and calls
+  /// on_closed later.
+  void Abort(id link, const std::string& why);
 
  private:
   class implementation;
--- a/src/transport/peer_links.cc
+++ b/src/transport/peer_links.cc
@@ -30,7 +30,7 @@
 using boost::system::error_code;
 
 constexpr std::size_t kInboxCapacity = 65536;
-constexpr std::size_t kMaxBufferedBytes = 8UL * 1024 * 1024;
+constexpr std::size_t kMaxUnsentBytes = 8UL * 1024 * 1024;
 constexpr std::size_t kMaxMessageBytes = 4UL * 1024 * 1024;
 constexpr std::size_t kMaxQueuedMessages = 4096;
 constexpr std::size_t kMaxLinks = 2048;
@@ -139,6 +139,7 @@
     /// Time at which the oldest unanswered message was sent. Empty if something
     /// has been received since the last message.
     std::optional<monotonic_time> unanswered_since;
+    unsent_frames unsent;
   };
   struct queued_message {
     std::string bytes;
@@ -302,12 +303,16 @@
   }
 
   void Write(link& to, const std::string& bytes, bool control) {
-    if (endpoints_.BufferedBytes(to.handle, to.dialled) > kMaxBufferedBytes) {
+    // The limit is checked before a message is added, because a link that is
+    // cut off holds all it is given.
+    if (to.unsent.Bytes() + bytes.size() > kMaxUnsentBytes)
       return CloseLink(to.handle);
-    }
+    const link_frame_pointer frame = MakeLinkFrame(
+        bytes, to.dialled ? link_end::kDialling : link_end::kAccepting);
+    to.unsent.Add(frame, monotonic_clock::now());
     // The result is ignored, because the close handler reports a link that
     // cannot send.
-    endpoints_.Send(to.handle, to.dialled, bytes);
+    endpoints_.Send(to.handle, to.dialled, frame);
     if (!to.unanswered_since) to.unanswered_since = monotonic_clock::now();
     if (control) {
       ++control_messages_sent_;
--- a/src/transport/websocket_endpoints.h
+++ b/src/transport/websocket_endpoints.h
@@ -10,6 +10,7 @@
 #include <websocketpp/server.hpp>
 
 #include "state/identity.h"
+#include "transport/link_frame.h"
 
 namespace papayaglade {
 
@@ -61,26 +62,14 @@
         failed);
   }
 
+  /// Sends a frame that was made for this end of the link.
   websocketpp::lib::error_code Send(const handle& link, bool dialled,
-                                    const std::string& bytes) {
+                                    const link_frame_pointer& frame) {
     websocketpp::lib::error_code failed;
-    WithEndpoint(dialled, [&](auto& end) {
-      end.send(link, bytes, websocketpp::frame::opcode::binary, failed);
-    });
+    WithEndpoint(dialled, [&](auto& end) { end.send(link, frame, failed); });
     return failed;
   }
 
-  /// Returns the number of bytes not yet sent, or 0 if the link is closed.
-  std::size_t BufferedBytes(const handle& link, bool dialled) {
-    std::size_t bytes = 0;
-    WithEndpoint(dialled, [&](auto& end) {
-      websocketpp::lib::error_code gone;
-      const auto connection = end.get_con_from_hdl(link, gone);
-      if (connection) bytes = connection->get_buffered_amount();
-    });
-    return bytes;
-  }
-
   /// Sends a ping. Does nothing if the link is closed.
   void Ping(const handle& link, bool dialled) {
     websocketpp::lib::error_code gone;
@@ -95,6 +84,18 @@
     WithEndpoint(dialled, [&](auto& end) { end.close(link, why, "", gone); });
   }
 
+  /// Ends the link at once, without what it has not sent yet. Does nothing if
+  /// the link is closed.
+  void Terminate(const handle& link, bool dialled) {
+    websocketpp::lib::error_code gone;
+    WithEndpoint(dialled, [&](auto& end) {
+      const auto connection = end.get_con_from_hdl(link, gone);
+      if (connection)
+        connection->terminate(websocketpp::error::make_error_code(
+            websocketpp::error::operation_canceled));
+    });
+  }
+
  private:
   template <typename Action>
   void WithEndpoint(bool dialled, const Action& action) {
--- a/tests/soak/follower_cases.py
+++ b/tests/soak/follower_cases.py
@@ -12,6 +12,11 @@
 CHANGE_INTERVAL_S = 0.1
 MISSED_CONFIGURATIONS = 66
 RETURNING_FOLLOWERS = 3
+SILENT_FOLLOWERS = 60
+UNREAD_CONFIGURATIONS = 40
+SUBSCRIBE_INTERVAL_S = 2.0
+CONFIGURATIONS_IN_AN_ANSWER = 8
+ROUTES = 1400
 
 
 async def change_configuration(tier, count):
@@ -70,4 +75,56 @@
     return kept and max(sizes) < 2 * CONFIGURATION_BYTES, seen
 
 
-FOLLOWER_CASES = [memory_of_returning_followers]
+async def memory_of_silent_followers(tier):
+    """Guards against LOST: instances that are cut off, but not given up yet,
+    make the process hold what each of them has not read."""
+    await start_small(tier)
+    followers = [Follower(f"f-{i}") for i in range(SILENT_FOLLOWERS)]
+    for each in followers:
+        await each.connect(tier.instance.ports["control"], 4096)
+        each.subscribe(tier.store.revision)
+
+    async def stay_subscribed():
+        while True:
+            await asyncio.sleep(SUBSCRIBE_INTERVAL_S)
+            for each in followers:
+                each.subscribe(tier.store.revision)
+
+    subscribed = asyncio.create_task(stay_subscribed())
+    changes = asyncio.create_task(
+        change_configuration(tier, UNREAD_CONFIGURATIONS))
+    calm = await ask_calmly(tier, 100)
+    await changes
+    subscribed.cancel()
+    for each in followers:
+        each.close()
+    return judge(tier, calm)
+
+
+async def memory_of_missed_configurations(tier):
+    """The store returns as many large configurations at once as one answer
+    may have."""
+    await start_small(tier)
+    tier.instance.store_relay.cut_off(["there", "back"])
+    latest = tier.store.objects["config", "main"]["spec"]
+    route = latest["routes"][0]
+    shards = [f"shard-{i:02d}-a" for i in range(30)]
+    services = latest["services"] + [
+        {**latest["services"][0], "name": each} for each in shards]
+    for version in range(3, 3 + CONFIGURATIONS_IN_AN_ANSWER):
+        routes = latest["routes"] + [
+            {**route, "name": f"r-{i:05d}", "path_prefix": f"/q{i:05d}/",
+             "service": None, "fanout_services": shards, "top_k": 5,
+             "min_shard_share": 1} for i in range(ROUTES)]
+        await tier.store.put("config", "main", {
+            **latest, "version": version, "routes": routes,
+            "services": services})
+    await asyncio.sleep(3)
+    tier.instance.store_relay.restore()
+    await asyncio.sleep(3)
+    calm = await ask_calmly(tier, 50)
+    return judge(tier, calm)
+
+
+FOLLOWER_CASES = [memory_of_returning_followers, memory_of_silent_followers,
+                  memory_of_missed_configurations]
--- a/tests/unit/mirrored_instance.cc
+++ b/tests/unit/mirrored_instance.cc
@@ -17,6 +17,7 @@
   settings.seeds = std::move(seeds);
   store_mirror::handlers handlers;
   handlers.on_changes = [this](stored_kind kind, const auto& objects) {
+    change_count += objects.size();
     if (kind == stored_kind::kUpstreams) UpdateUpstreams(objects);
     for (const stored_object& each : objects) {
       if (!each.deleted) received.insert({kind, each.name});
--- a/tests/unit/mirrored_instance.h
+++ b/tests/unit/mirrored_instance.h
@@ -30,6 +30,8 @@
   std::unique_ptr<store_mirror> mirror;
   std::set<std::string> upstreams;
   std::set<std::pair<stored_kind, std::string>> received;
+  /// How often an object has changed.
+  std::size_t change_count = 0;
   std::vector<fleet_member> members;
   /// When the upstreams were confirmed last.
   std::optional<monotonic_time> confirmed_at;
