Send all objects to a copy from a revision that this one skipped

What callers would see: an instance that keeps an old configuration, or asks an upstream that has left, until the object changes again.

Cause: a copy of the store moves on by a report if its objects are the same. A change that was taken back in between it never learns; asked by a copy from in between, it answered that nothing had changed since.

Change: the copy keeps the ranges of revisions that it skipped; whoever is inside one gets all objects.

--- a/src/coordination/object_mirror.cc
+++ b/src/coordination/object_mirror.cc
@@ -1,5 +1,6 @@
 #include "coordination/object_mirror.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -11,6 +12,7 @@
 
 // A copy that lacks more deletions than this gets all objects.
 constexpr std::size_t kMaxDeletions = 200;
+constexpr std::size_t kMaxSkippedRanges = 32;
 
 }  // namespace
 
@@ -99,6 +101,28 @@
   changes_known_from_ = revision;
   while (!deletions_.empty() && deletions_.front().revision <= revision)
     deletions_.pop_front();
+  while (!skipped_.empty() && skipped_.front().to <= revision)
+    skipped_.pop_front();
+}
+
+// Nothing changed between two ranges that meet, so they are one.
+void object_mirror::RecordSkipped(std::int64_t from) {
+  if (!skipped_.empty() && skipped_.back().to == from) {
+    skipped_.back().to = revision_;
+  } else {
+    skipped_.push_back({from, revision_});
+  }
+  if (skipped_.size() > kMaxSkippedRanges)
+    ForgetChangesBefore(skipped_.front().to);
+}
+
+// An object may have changed and changed back within a range that was skipped.
+bool object_mirror::KnowsChangesSince(std::int64_t revision) const {
+  if (revision < changes_known_from_) return false;
+  return std::none_of(skipped_.begin(), skipped_.end(),
+                      [revision](const skipped_range& each) {
+                        return each.from < revision && revision < each.to;
+                      });
 }
 
 // Without a look at the objects, changes that are still to come would be taken
@@ -111,6 +135,7 @@
   nothing.from = revision_;
   nothing.to = position.revision;
   Apply(nothing);
+  RecordSkipped(nothing.from);
   return true;
 }
 
@@ -120,7 +145,7 @@
   const bool first = position.revision == 0;
   if (!first && position.digest == digest_) return MakeDifference(digest_, {});
   const std::int64_t from = position.revision;
-  if (from < changes_known_from_) return MakeWholePage();
+  if (!KnowsChangesSince(from)) return MakeWholePage();
   mirror_page page;
   page.kind = kind_;
   page.from = from;
--- a/src/coordination/object_mirror.h
+++ b/src/coordination/object_mirror.h
@@ -60,6 +60,11 @@
     std::string name;
     std::int64_t revision = 0;
   };
+  /// Revisions between these are ones at which this copy never was.
+  struct skipped_range {
+    std::int64_t from = 0;
+    std::int64_t to = 0;
+  };
 
   mirror_page MakeWholePage() const;
   /// Returns whether the page starts from what this copy holds.
@@ -69,6 +74,11 @@
   std::vector<mirrored_object> ComputeChanges(const mirror_page& page) const;
   /// Notes when the objects of a page changed, for PageSince.
   void RecordPage(const mirror_page& page);
+  /// Notes that this copy has moved on from `from` to its revision without the
+  /// changes between them.
+  void RecordSkipped(std::int64_t from);
+  /// Returns whether all changes after `revision` are known.
+  bool KnowsChangesSince(std::int64_t revision) const;
   /// Forgets what changed before `revision`.
   void ForgetChangesBefore(std::int64_t revision);
 
@@ -82,8 +92,9 @@
   /// Deletions after `changes_known_from_`, oldest first. An object may have
   /// been created again since.
   std::deque<deletion> deletions_;
-  /// All changes after this revision are known.
+  /// All changes after this revision are known, except in these ranges.
   std::int64_t changes_known_from_ = 0;
+  std::deque<skipped_range> skipped_;
 };
 
 }  // namespace papayaglade
