Keep links that are still opening when a message is sent on them

Cause: instances subscribe anew every 2 s, also on links that are not open yet; the library refuses such a message, and the link was closed for it.

Change: a message for a link that is not open yet is dropped. Subscriptions are sent when a link opens, and relays use open links only.

Test: "a message does not end a link that is not open yet", failed before.

--- a/src/transport/instance_links.cc
+++ b/src/transport/instance_links.cc
@@ -146,12 +146,14 @@
     link_handle handle;
     /// True if this instance opened the link; false if it accepted it.
     bool dialled = false;
+    bool open = false;
     unsent_frames unsent;
   };
 
   // The limit is checked before a frame is added, because a link that is cut
   // off holds all it is given.
   void SendFrame(id link, link_state& state, const link_frame_pointer& frame) {
+    if (!state.open) return;
     const std::size_t unsent = state.unsent.Bytes();
     const std::size_t bytes = frame->get_payload().size();
     if (unsent > 0 && unsent + bytes > kMaxUnsentBytes)
@@ -196,7 +198,7 @@
 
   id Add(const link_handle& handle, bool dialled) {
     const id link = ++last_id_;
-    links_[link] = {handle, dialled, {}};
+    links_[link] = {handle, dialled, false, {}};
     ids_[handle] = link;
     return link;
   }
@@ -215,6 +217,7 @@
   }
 
   void NotifyOpen(id link) {
+    links_.at(link).open = true;
     for (const handlers& each : handlers_) {
       if (each.on_open) each.on_open(link);
     }
--- a/src/transport/instance_links.h
+++ b/src/transport/instance_links.h
@@ -52,7 +52,8 @@
   /// Sends `message` on `link`. Aborts the link if the message cannot be sent
   /// or the link would hold more than kMaxUnsentBytes; a single message may be
   /// larger. If all links would hold more than kMaxUnsentBytesOfAll, aborts
-  /// the one that has waited longest. Does nothing for an unknown link.
+  /// the one that has waited longest. Does nothing for a link that is unknown
+  /// or not open yet.
   void Send(id link, std::string message);
   /// Sends a frame that MakeLinkFrame has made for an accepting end, and which
   /// other links may send as well.
--- a/tests/unit/instance_links_test.cc
+++ b/tests/unit/instance_links_test.cc
@@ -87,6 +87,25 @@
   CHECK_FALSE(accepting.links.UnsentSince(accepted).has_value());
 }
 
+// Guards against an instance that finds no source, because what it sends every
+// now and then ends the links that are not open yet.
+TEST_CASE("a message does not end a link that is not open yet", "[links]") {
+  loop_context loop;
+  linked_instance accepting(loop);
+  linked_instance dialling(loop);
+  const auto link = dialling.links.Dial(accepting.address);
+  dialling.links.Send(link, "too early");
+  REQUIRE(RunUntil(loop, [&] {
+    return dialling.closed.count(link) == 1 ||
+           (dialling.open.size() == 1 && accepting.open.size() == 1);
+  }));
+  REQUIRE(dialling.closed.empty());
+  dialling.links.Send(link, "in time");
+  const auto accepted = accepting.open.front();
+  REQUIRE(RunUntil(loop, [&] { return accepting.received.size() == 1; }));
+  CHECK(accepting.received[accepted] == std::vector<std::string>{"in time"});
+}
+
 // Guards against a process that exceeds its memory, because what is being
 // written was not counted and the limit was checked before a message was added.
 TEST_CASE("a link that is not read holds no more than its limit", "[links]") {
