Forward the latest state of an object only, however often it has changed

What callers would see: an instance over its memory; not shown with callers. An answer of the store holds all states of an object since the last watch, and they were forwarded to all followers: eight configurations of 0.9 MB made one message of 7 MB for each of them.

Test: "followers are sent the latest state of an object only" failed before (seven states in a page).

--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -1,6 +1,7 @@
 #include "app/store_mirror.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "coordination/watch_wait.h"
@@ -36,6 +37,18 @@
   return static_cast<std::size_t>(found - kMirroredKinds.begin());
 }
 
+// Returns each object of the page once, in the order of the last changes. The
+// store returns all states of an object since the last watch.
+std::vector<const stored_object*> LatestStates(const store_page& page) {
+  std::set<std::string> names;
+  std::vector<const stored_object*> latest;
+  for (auto each = page.objects.rbegin(); each != page.objects.rend(); ++each) {
+    if (names.insert(each->name).second) latest.push_back(&*each);
+  }
+  std::reverse(latest.begin(), latest.end());
+  return latest;
+}
+
 const char* SourceStateName(source_state state) {
   switch (state) {
     case source_state::kFollowing:
@@ -165,10 +178,8 @@
   mirrored.content = content;
   mirrored.from = from;
   mirrored.to = page.revision;
-  mirrored.objects.reserve(page.objects.size());
-  for (const stored_object& each : page.objects) {
-    mirrored.objects.push_back(ToMirroredObject(each));
-  }
+  for (const stored_object* each : LatestStates(page))
+    mirrored.objects.push_back(ToMirroredObject(*each));
   if (time.was_held) Confirm(kind, time.confirmed_at);
   mirrored.confirmed_age = ConfirmedAge(kind);
   ApplyPage(kind, std::move(mirrored));
--- a/tests/unit/mirror_followers_test.cc
+++ b/tests/unit/mirror_followers_test.cc
@@ -106,6 +106,7 @@
   }
 
   void OnPage(const mirror_page& page) {
+    most_objects = std::max(most_objects, page.objects.size());
     const auto changes = copy.Apply(page);
     if (!changes.has_value() || changes->empty()) return;
     latest = ToStoredObject(changes->back()).content.at("number");
@@ -121,6 +122,7 @@
   manual_peer peer;
   object_mirror copy{stored_kind::kConfiguration};
   std::size_t latest = 0;
+  std::size_t most_objects = 0;  // in a page
 };
 
 }  // namespace
@@ -190,6 +192,30 @@
   CHECK(source.followers.DeferredPageCount() == 0);
 }
 
+// Guards against messages that grow with the number of changes: the store
+// returns all states of an object since the last watch.
+TEST_CASE("followers are sent the latest state of an object only",
+          "[mirror][links]") {
+  constexpr std::size_t kChanges = 8;
+  loop_context loop;
+  store_standin store(loop);
+  const mirrored_instance source(loop, store.Address(), "entry-1", false);
+  REQUIRE(ChangeLarge(loop, store, source, 0));
+  following_peer follower(source.control);
+  REQUIRE(RunUntil(loop, [&] {
+    follower.ReadAll();
+    return follower.latest == 0 && follower.copy.IsComplete();
+  }));
+  // All but the first are in the answer to the next watch.
+  for (std::size_t i = 1; i <= kChanges; ++i)
+    store.Put("config", "main", {{"number", i}});
+  CHECK(RunUntil(loop, [&] {
+    follower.ReadAll();
+    return follower.latest == kChanges;
+  }));
+  CHECK(follower.most_objects == 1);
+}
+
 TEST_CASE("a follower that reads again gets what was deferred",
           "[mirror][links]") {
   constexpr std::size_t kMaxChanges = 20;
