Say once how old a time is and whether a deadline has passed

Left by earlier work: the age of a time that may be unknown was computed in the mirror and in the applier, "has left" in two types, the memory was shared out twice, and the time of confirmation was kept for three kinds of objects though only that of the upstreams is used. In the new code, deletions are remembered once for each object, so that a page names none twice; the test of the size of a page checks it.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -50,15 +50,16 @@
                  const entry_wire_format& wire, const store_format& format)
       : settings_file_(std::move(settings_file)),
         settings_(settings),
+        memory_(ShareMemory(settings.memory_bytes)),
         log_(loop_),
         directory_(settings.data_centre, settings.bounds, settings.warmup),
         policy_(settings.repeats),
         upstream_client_(loop_, wire, directory_, policy_, reachability_,
-                         ShareMemory(settings.memory_bytes).answers),
+                         memory_.answers),
         service_(loop_, wire, directory_, policy_, upstream_client_, log_,
                  metrics_),
         callers_(loop_, service_, settings.descriptors / kDescriptorsPerCaller,
-                 ShareMemory(settings.memory_bytes)),
+                 memory_),
         readiness_(loop_, readiness_service_, kOperatorConnections),
         metrics_port_(loop_, metrics_service_, kOperatorConnections),
         signals_(loop_.Io(), SIGTERM, SIGINT, SIGHUP),
@@ -374,6 +375,7 @@
   std::string settings_file_;
   std::string settings_text_;
   entry_settings settings_;
+  const memory_shares memory_;
   loop_context loop_;
   structured_log log_;
   metrics_registry metrics_;
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -96,11 +96,10 @@
     std::size_t kind, const store_format& format,
     const entry_settings& settings, bool sharing) {
   const stored_kind stored = kMirroredKinds[kind];
-  return {
-      object_mirror(stored),
-      store_feed(loop_, format, log_, settings.store, stored,
-                 WatchWait(stored, settings.delays, sharing), HandlersOf(kind)),
-      std::nullopt};
+  return {object_mirror(stored),
+          store_feed(loop_, format, log_, settings.store, stored,
+                     WatchWait(stored, settings.delays, sharing),
+                     HandlersOf(kind))};
 }
 
 store_feed::handlers store_mirror::HandlersOf(std::size_t kind) {
@@ -188,18 +187,15 @@
 }
 
 void store_mirror::Confirm(std::size_t kind, monotonic_time time) {
-  std::optional<monotonic_time>& confirmed_at = kinds_[kind].confirmed_at;
-  if (confirmed_at.has_value() && time <= *confirmed_at) return;
-  confirmed_at = time;
-  if (kind != kUpstreamsKind) return;
+  if (kind != kUpstreamsKind || upstreams_confirmed_at_ >= time) return;
+  upstreams_confirmed_at_ = time;
   store_unavailable_ = false;
   if (handlers_.on_upstreams_confirmed) handlers_.on_upstreams_confirmed(time);
 }
 
 std::optional<milliseconds> store_mirror::ConfirmedAge(std::size_t kind) const {
-  const std::optional<monotonic_time>& confirmed_at = kinds_[kind].confirmed_at;
-  if (!confirmed_at.has_value()) return std::nullopt;
-  return std::chrono::ceil<milliseconds>(loop_context::Now() - *confirmed_at);
+  if (kind != kUpstreamsKind) return std::nullopt;
+  return AgeOf(upstreams_confirmed_at_, loop_context::Now());
 }
 
 void store_mirror::OnStoreUnavailable() {
@@ -413,9 +409,8 @@
       continue;
     }
     own.feed.SkipTo(own.objects.Revision());
-    const bool is_confirmed = has_changes && kind == kUpstreamsKind &&
-                              report.upstreams_confirmed_age.has_value();
-    if (is_confirmed) Confirm(kind, now - *report.upstreams_confirmed_age);
+    if (has_changes && report.upstreams_confirmed_age.has_value())
+      Confirm(kind, now - *report.upstreams_confirmed_age);
   }
   if (report.store_unavailable) OnStoreUnavailable();
   if (lacks_changes) AskForMissed(link, from->second);
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -70,8 +70,6 @@
   struct mirrored_kind {
     object_mirror objects;
     store_feed feed;
-    /// The latest time at which the copy was known to be that of the store.
-    std::optional<monotonic_time> confirmed_at;
   };
   /// A source, and what it was asked for last.
   struct source {
@@ -86,9 +84,10 @@
   store_feed::handlers HandlersOf(std::size_t kind);
   void OnStorePage(std::size_t kind, page_content content, std::int64_t from,
                    const store_page& page, const store_feed::answer_time& time);
-  /// Notes that the copy of one kind was that of the store at `time`.
+  /// Notes that the copy of one kind was that of the store at `time`, which is
+  /// of use for the upstreams only.
   void Confirm(std::size_t kind, monotonic_time time);
-  /// Returns how long ago that was, or nothing if it is unknown.
+  /// Returns how long ago that was, or nothing if it is unknown or of no use.
   std::optional<std::chrono::milliseconds> ConfirmedAge(std::size_t kind) const;
   void OnStoreUnavailable();
   /// Applies a page to the copy of one kind and forwards it to the followers.
@@ -152,6 +151,9 @@
   bool serving_ = true;
   monotonic_time watching_since_;
   monotonic_time last_answer_;
+  /// The latest time at which the copy of the upstreams was known to be that of
+  /// the store.
+  std::optional<monotonic_time> upstreams_confirmed_at_;
   /// The store has been found unavailable since the upstreams were confirmed.
   bool store_unavailable_ = false;
   monotonic_time last_subscribe_time_;
--- a/src/app/store_object_applier.cc
+++ b/src/app/store_object_applier.cc
@@ -15,6 +15,8 @@
 // The metric has the number of all unreadable upstreams.
 constexpr std::size_t kMaxUnreadableLines = 20;
 constexpr std::size_t kMaxLoggedNameBytes = 64;
+// Logged where the list of upstreams was never confirmed.
+constexpr std::chrono::milliseconds kUnknownAge{-1};
 
 }  // namespace
 
@@ -98,8 +100,10 @@
     if (change == upstream_change::kReady && ++ready > kMaxReadyLines) continue;
     log_line line("upstream_changed");
     line.With("upstream", each.name).With("state", UpstreamChangeName(change));
-    if (change != upstream_change::kReady)
-      line.With("confirmed_ms", ListAge(now));
+    if (change != upstream_change::kReady) {
+      const auto age = AgeOf(directory_.ListConfirmedAt(), now);
+      line.With("confirmed_ms", age.value_or(kUnknownAge).count());
+    }
     log_.Write(structured_log::kind::kEvent, line);
   }
   if (ready <= kMaxReadyLines) return;
@@ -109,14 +113,6 @@
                  .With("known", static_cast<std::int64_t>(directory_.Size())));
 }
 
-std::int64_t store_object_applier::ListAge(monotonic_time now) const {
-  const auto& confirmed_at = directory_.ListConfirmedAt();
-  if (!confirmed_at.has_value()) return -1;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                               *confirmed_at)
-      .count();
-}
-
 store_object_applier::upstream_change store_object_applier::ApplyUpstream(
     const stored_object& object, monotonic_time now) {
   fault_list faults;
--- a/src/app/store_object_applier.h
+++ b/src/app/store_object_applier.h
@@ -41,9 +41,6 @@
   /// Applies one object and returns the new state of its upstream.
   upstream_change ApplyUpstream(const stored_object& object,
                                 monotonic_time now);
-  /// Returns how many milliseconds ago the list of upstreams was confirmed, or
-  /// -1 if it never was.
-  std::int64_t ListAge(monotonic_time now) const;
   /// Counts and logs an object that does not describe an upstream.
   void OnUnreadableUpstream(const stored_object& object,
                             const fault_list& faults);
--- a/src/coordination/known_upstream.h
+++ b/src/coordination/known_upstream.h
@@ -36,7 +36,7 @@
   bool IsLeaving() const { return usable_until.has_value(); }
   /// Returns whether the time is over in which it may be asked.
   bool HasLeft(monotonic_time now) const {
-    return usable_until.has_value() && *usable_until <= now;
+    return HasPassed(usable_until, now);
   }
 };
 
--- a/src/coordination/object_mirror.cc
+++ b/src/coordination/object_mirror.cc
@@ -90,13 +90,22 @@
   for (const mirrored_object& each : page.objects) {
     const auto known = objects_.find(each.name);
     if (known != objects_.end()) known->second.changed_at = page.to;
-    if (each.deleted) deletions_.push_back({each.name, page.to});
+    if (each.deleted) RecordDeletion(each.name, page.to);
   }
   if (deletions_.size() <= kMaxDeletions) return;
   const std::size_t excess = deletions_.size() - kMaxDeletions;
   ForgetChangesBefore(deletions_[excess - 1].revision);
 }
 
+void object_mirror::RecordDeletion(const std::string& name,
+                                   std::int64_t revision) {
+  const auto earlier =
+      std::find_if(deletions_.begin(), deletions_.end(),
+                   [&](const deletion& each) { return each.name == name; });
+  if (earlier != deletions_.end()) deletions_.erase(earlier);
+  deletions_.push_back({name, revision});
+}
+
 void object_mirror::ForgetChangesBefore(std::int64_t revision) {
   changes_known_from_ = revision;
   while (!deletions_.empty() && deletions_.front().revision <= revision)
--- a/src/coordination/object_mirror.h
+++ b/src/coordination/object_mirror.h
@@ -74,6 +74,7 @@
   std::vector<mirrored_object> ComputeChanges(const mirror_page& page) const;
   /// Notes when the objects of a page changed, for PageSince.
   void RecordPage(const mirror_page& page);
+  void RecordDeletion(const std::string& name, std::int64_t revision);
   /// Notes that this copy has moved on from `from` to its revision without the
   /// changes between them.
   void RecordSkipped(std::int64_t from);
@@ -89,8 +90,8 @@
   std::size_t bytes_ = 0;
   /// The objects, keyed by name.
   std::map<std::string, object_state> objects_;
-  /// Deletions after `changes_known_from_`, oldest first. An object may have
-  /// been created again since.
+  /// Deletions after `changes_known_from_`, oldest first, each object once. It
+  /// may have been created again since.
   std::deque<deletion> deletions_;
   /// All changes after this revision are known, except in these ranges.
   std::int64_t changes_known_from_ = 0;
--- a/src/coordination/upstream_restrictions.h
+++ b/src/coordination/upstream_restrictions.h
@@ -22,7 +22,7 @@
 
   /// Returns whether that time is over.
   bool HasLeft(monotonic_time now) const {
-    return usable_until.has_value() && *usable_until <= now;
+    return HasPassed(usable_until, now);
   }
 };
 
--- a/src/protocol/mirror_codec.h
+++ b/src/protocol/mirror_codec.h
@@ -11,7 +11,8 @@
 
 /// Encodes `message` as one CBOR array.
 std::string EncodeMirrorMessage(const mirror_message& message);
-/// Encodes a page, which may be large, without a copy of it.
+/// Encodes a page as EncodeMirrorMessage does. A page may be large, and this
+/// does not copy it into a message first.
 std::string EncodeMirrorPage(const mirror_page& page);
 
 /// Returns std::nullopt if `bytes` is not a well-formed message.
--- a/tests/unit/object_mirror_test.cc
+++ b/tests/unit/object_mirror_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -173,9 +174,13 @@
     const auto page = mirror.PageSince({kKind, from, 0});
     REQUIRE(page.has_value());
     std::size_t bytes = 0;
-    for (const mirrored_object& each : page->objects)
+    std::set<std::string> names;
+    for (const mirrored_object& each : page->objects) {
       bytes += each.document.size();
+      names.insert(each.name);
+    }
     CHECK(bytes <= whole);
+    CHECK(names.size() == page->objects.size());
   }
 }
 
