Soak large configurations with instances that miss them

Until now no soak sent a page of more than some KB between instances. In large_changes configurations of up to 0.9 MB come in quick succession, while instances are cut off, frozen, stopped, killed and without the store. The usual rules are checked, that the last change is in force at the end, and that each process keeps within 160 MB.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 import asyncio
 import sys
 
+from .large_changes import LargeChanges
 from .soak import Soak
 from .stop_cases import StopCases
 from .stops import Stops
@@ -22,7 +23,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--only", metavar="KIND",
                         help="`stops`, planned stops under checks of their "
-                        "own, `stop_cases`, which have no seed, or one kind of fault (a method of Faults)")
+                        "own, `large_changes`, large configurations, "
+                        "`stop_cases`, which have no seed, or one kind of "
+                        "fault (a method of Faults)")
     parser.add_argument("--case", choices=StopCases.names(),
                         help="the only one of `stop_cases` to run")
     parser.add_argument("--build", default="build")
@@ -31,7 +34,8 @@
     parser.add_argument("--instances", type=int, default=6)
     parser.add_argument("--folder")
     arguments = parser.parse_args()
-    runs = {"stops": Stops, "stop_cases": StopCases}
+    runs = {"stops": Stops, "stop_cases": StopCases,
+            "large_changes": LargeChanges}
     soak = runs.get(arguments.only, Soak)(arguments)
     if arguments.only not in (None, *runs) and (
             arguments.only not in soak.kinds()):
--- a/tests/soak/case_tier.py
+++ b/tests/soak/case_tier.py
@@ -112,9 +112,7 @@
             await asyncio.sleep(.05)
 
     def highest_memory_mb(self):
-        with open(f"/proc/{self.instance.process.pid}/status") as status:
-            return next(int(line.split()[1]) for line in status
-                        if line.startswith("VmHWM")) // 1024
+        return self.instance.memory_mb()
 
     async def connect(self, receive_bytes=None):
         plain = socket.socket()
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -125,6 +125,15 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    def memory_mb(self):
+        """Returns the most memory that the process has used."""
+        try:
+            with open(f"/proc/{self.process.pid}/status") as status:
+                return next((int(line.split()[1]) // 1024 for line in status
+                             if line.startswith("VmHWM")), 0)
+        except (AttributeError, FileNotFoundError, ProcessLookupError):
+            return 0
+
     async def stop(self):
         """Stops the process as planned work does; returns whether it exited
         by itself before the end of the grace."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,6 +56,12 @@
     def searcher_traits(self, service):
         return {}
 
+    def configuration_extras(self):
+        return {}
+
+    def instance_extras(self):
+        return {}
+
     async def add_searcher(self, service, zone, port=None):
         number = len(self.searchers)
         searcher = Searcher(f"i-{number}", service, zone, port or free_port(),
@@ -107,7 +113,8 @@
                     for name in [*self.shards, "archive"]]
         await self.store.put("config", "main", {
             "version": self.version, "routes": routes, "services": services,
-            "limits": {"idle_timeout_ms": 15000}})
+            "limits": {"idle_timeout_ms": 15000},
+            **self.configuration_extras()})
         return self.version
 
     def new_attempt(self, kind, instance=None):
@@ -201,6 +208,7 @@
         self.store.control_ports = relays
         seeds = [f"127.0.0.1:{port}" for port in relays.values()]
         for each in self.instances:
+            each.more_settings = self.instance_extras()
             await each.start_relays(seeds[:SEED_COUNT])
         self.rotation = []
         supervisors = [asyncio.create_task(each.supervise())
