--- a/src/transport/instance_links.cc
+++ b/src/transport/instance_links.cc
@@ -163,7 +163,7 @@
     unsent_of_all_.Add(frame, now);
     const auto failed = endpoints_.Send(state.handle, state.dialled, frame);
     if (failed) return Abort(link, failed.message());
-    if (unsent_of_all_.Bytes() > kMaxUnsentBytesOfAll) AbortSlowest();
+    while (unsent_of_all_.Bytes() > kMaxUnsentBytesOfAll) AbortSlowest();
   }
 
   // Ends the link that has waited longest to send what it holds.
@@ -178,6 +178,9 @@
       slowest = each.first;
     }
     Abort(slowest, kDoesNotRead);
+    // Its frames are released later, but must not end other links until then.
+    unsent_of_all_ = unsent_frames();
+    for (const auto& each : links_) unsent_of_all_.Add(each.second.unsent);
   }
 
   void Erase(id link, const link_handle& handle) {
--- a/src/transport/instance_links.h
+++ b/src/transport/instance_links.h
@@ -51,8 +51,8 @@
   id Dial(const endpoint& address);
   /// Sends `message` on `link`. Aborts the link if the message cannot be sent
   /// or the link would hold more than kMaxUnsentBytes; a single message may be
-  /// larger. If all links would hold more than kMaxUnsentBytesOfAll, aborts
-  /// the one that has waited longest. Does nothing for a link that is unknown
+  /// larger. While all links hold more than kMaxUnsentBytesOfAll, aborts the
+  /// one that has waited longest. Does nothing for a link that is unknown
   /// or not open yet.
   void Send(id link, std::string message);
   /// Sends a frame that MakeLinkFrame has made for an accepting end, and which
--- a/src/transport/link_frame.cc
+++ b/src/transport/link_frame.cc
@@ -47,11 +47,20 @@
 
 void unsent_frames::Add(const link_frame_pointer& frame, monotonic_time now) {
   EraseSent();
+  Add({frame, frame->get_payload().size(), now});
+}
+
+void unsent_frames::Add(const unsent_frames& others) {
+  for (const entry& each : others.frames_) Add(each);
+}
+
+void unsent_frames::Add(const entry& added) {
+  const link_frame_pointer frame = added.frame.lock();
+  if (frame == nullptr) return;
   const bool held = std::any_of(
       frames_.begin(), frames_.end(),
       [&](const entry& each) { return each.frame.lock() == frame; });
-  if (held) return;
-  frames_.push_back({frame, frame->get_payload().size(), now});
+  if (!held) frames_.push_back(added);
 }
 
 std::size_t unsent_frames::Bytes() const {
--- a/src/transport/link_frame.h
+++ b/src/transport/link_frame.h
@@ -31,6 +31,8 @@
  public:
   /// Adds a frame that a link is about to send, once.
   void Add(const link_frame_pointer& frame, monotonic_time now);
+  /// Adds the frames of `others`, each once.
+  void Add(const unsent_frames& others);
   /// Returns the payload of the frames that are not completely sent, in bytes.
   std::size_t Bytes() const;
   /// Returns when the oldest of these frames was added, if there are any.
@@ -43,6 +45,7 @@
     monotonic_time added;
   };
 
+  void Add(const entry& added);
   void EraseSent();
 
   std::deque<entry> frames_;
--- a/tests/unit/instance_links_test.cc
+++ b/tests/unit/instance_links_test.cc
@@ -159,6 +159,24 @@
   CHECK(instance.closed.count(instance.open.back()) == 0);
 }
 
+// Guards against the end of all links where one has to make room: what an ended
+// link held is released a little later.
+TEST_CASE("no more links end than have to make room", "[links]") {
+  constexpr std::size_t kPeers = 30;
+  constexpr std::size_t kHolders = 3;
+  loop_context loop;
+  linked_instance instance(loop);
+  const auto peers = MakeSilentPeers(kPeers, instance);
+  REQUIRE(RunUntil(loop, [&] { return instance.open.size() == kPeers; }));
+  for (std::size_t i = 0; i < kPeers; ++i) {
+    const std::size_t bytes = i < kHolders ? 7 * kMegabyte : 100;
+    instance.links.Send(instance.open[i], std::string(bytes, 'm'));
+  }
+  REQUIRE(RunUntil(loop, [&] { return !instance.closed.empty(); }));
+  CHECK(instance.closed.size() == 1);
+  CHECK(instance.closed.count(instance.open.front()) == 1);
+}
+
 TEST_CASE("a frame is held once, however many links send it", "[links]") {
   constexpr std::size_t kPeers = 10;
   constexpr std::size_t kMessageBytes = 7 * kMegabyte;
