--- a/review/standins-3/tier.py
+++ b/review/standins-3/tier.py
@@ -263,7 +263,9 @@
 
 
 class Searcher:
-    """A searcher that runs each request for `work_s` and echoes its id."""
+    """A searcher that runs `slots` requests at a time, each for `work_s`, has
+    a queue for a few more, and echoes the id of each."""
+    QUEUE = 18
 
     def __init__(self, tier, identity, service, zone, work_s=0.005, slots=6):
         self.tier = tier
@@ -274,21 +276,34 @@
         self.slots = slots
         self.port = free_port()
         self.born = int(time.time() * 1000)
+        self.sequence = 0  # of its reports to the store
         self.connections = set()
-        self.runs = []  # (attempt id, start time)
+        self.runs = []  # (attempt id, time of arrival)
+        self.free_slots = asyncio.Semaphore(slots)
+        self.held = 0  # requests at work or in the queue
 
-    def entry(self, state="ready"):
+    def entry(self, state="ready", warmup_left_ms=0):
         return {"service": self.service, "address": f"{HOST}:{self.port}",
                 "zone": self.zone, "version": "v1",
                 "max_concurrency": self.slots, "state": state,
-                "warmup_left_ms": 0, "sequence": 1, "born": self.born}
+                "warmup_left_ms": warmup_left_ms, "sequence": self.sequence,
+                "born": self.born}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port)
 
-    async def report(self, state="ready"):
-        return await self.tier.store.write("searcher", "servers", self.id,
-                                           self.entry(state))
+    async def report(self, state="ready", warmup_left_ms=0):
+        self.sequence += 1
+        return await self.tier.store.write(
+            "searcher", "servers", self.id, self.entry(state, warmup_left_ms))
+
+    async def crash(self):
+        """Ends at once; the platform removes its entry."""
+        self.server.close()
+        for writer in list(self.connections):
+            reset(writer)
+        self.tier.record.write("crashed", searcher=self.id)
+        await self.tier.store.write("searcher", "servers", self.id, None)
 
     async def serve(self, reader, writer):
         self.connections.add(writer)
@@ -317,10 +332,18 @@
                 ("Papayaglade-Instance-Id", self.id)]))
             return True
         attempt = message.get("papayaglade-attempt-id")
+        if self.held >= self.slots + self.QUEUE:
+            writer.write(answer(503, fields=[("Papayaglade-Not-Executed", 1)]))
+            return True
         self.runs.append((attempt, self.tier.record.now()))
         self.tier.record.write("run", searcher=self.id, service=self.service,
                                attempt=attempt, request=message.start)
-        await asyncio.sleep(self.work_s)
+        self.held += 1
+        try:
+            async with self.free_slots:
+                await asyncio.sleep(self.work_s)
+        finally:
+            self.held -= 1
         writer.write(self.respond(attempt))
         return True
 
@@ -542,11 +565,11 @@
         self.temporary.cleanup()
 
 
-def configuration(version, routes, services):
-    """Returns a desired state; services are names or (name, limits)."""
+def configuration(version, routes, services, **limits):
+    """Returns a desired state; `limits` are those of each service."""
     listed = [{"name": s, "health_path": "/health", "max_connections": 100,
                "protocol": "h1", "tls": False, "warmup_s": 3.0,
-               "warmup_per_s": 0.0} for s in services]
+               "warmup_per_s": 0.0, **limits} for s in services]
     return {"version": version, "routes": routes, "services": listed,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
