--- a/review/standins-3/tier.py
+++ b/review/standins-3/tier.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -30,10 +31,23 @@
 HOST = "127.0.0.1"
 
 
+# Below the ports that the system gives to outgoing connections.
+PORTS = range(16000, 32000)
+taken_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        if port in taken_ports:
+            continue
+        taken_ports.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+                return port
+            except OSError:
+                pass  # another program has it
 
 
 class Record:
@@ -114,37 +128,35 @@
         self.writes = []   # (revision, writer, kind, name, spec or None)
         self.era = 1
         self.away = False
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # set by the next write
         self.connections = set()
-        self.statuses = {}
-
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port)
 
     async def write(self, writer, kind, name, spec):
         """Writes or, without a spec, deletes an object; returns its
         revision, which is the ack."""
-        async with self.changed:
-            self.revision += 1
-            deleted = spec is None
-            known = self.objects.get((kind, name))
-            entry = {"meta": {"name": name, "revision": self.revision,
-                              "created": known["meta"]["created"] if known
-                              else self.revision,
-                              "finalizers": [], "deleting": False},
-                     "spec": known["spec"] if deleted and known else spec,
-                     "status": None}
-            if deleted:
-                self.objects.pop((kind, name), None)
-            else:
-                self.objects[kind, name] = entry
-            self.history.append((self.revision, kind, entry, deleted))
-            self.writes.append((self.revision, writer, kind, name, spec))
-            self.record.write("store_write", writer=writer, kind=kind,
-                              name=name, deleted=deleted, era=self.era,
-                              revision=self.revision)
-            self.changed.notify_all()
-            return self.revision
+        self.revision += 1
+        deleted = spec is None
+        known = self.objects.get((kind, name))
+        entry = {"meta": {"name": name, "revision": self.revision,
+                          "created": known["meta"]["created"] if known
+                          else self.revision,
+                          "finalizers": [], "deleting": False},
+                 "spec": known["spec"] if deleted and known else spec,
+                 "status": None}
+        if deleted:
+            self.objects.pop((kind, name), None)
+        else:
+            self.objects[kind, name] = entry
+        self.history.append((self.revision, kind, entry, deleted))
+        self.writes.append((self.revision, writer, kind, name, spec))
+        self.record.write("store_write", writer=writer, kind=kind, name=name,
+                          deleted=deleted, era=self.era,
+                          revision=self.revision)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.revision
 
     async def restore(self, copy_revision, away_s):
         """Goes away for a moment and comes back from the copy as of a
@@ -253,13 +265,14 @@
                     for revision, k, entry, deleted in self.history
                     if k == kind and revision > since]
 
-        async with self.changed:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_ms / 1000
+        while not events() and loop.time() < end:
             try:
-                await asyncio.wait_for(self.changed.wait_for(events),
-                                       wait_ms / 1000)
+                await asyncio.wait_for(self.changed.wait(), end - loop.time())
             except asyncio.TimeoutError:
-                pass
-            return self.answer(200, {"events": events(), "at": self.revision})
+                break
+        return self.answer(200, {"events": events(), "at": self.revision})
 
 
 class Searcher:
@@ -599,9 +612,6 @@
                   *broken[:5], sep="\n  ")
             return BROKEN if broken else HELD
         finally:
-            logs = os.environ.get("KEEP_LOGS")
-            if logs:
-                os.system(f"cp {tier.folder}/*.log {logs}/")
             await tier.close()
 
     try:
