--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -71,7 +71,7 @@
                       reachability_),
         relay_server_(loop_, links_, directory_, upstream_client_),
         mirror_(
-            loop_, format, log_, links_, settings, CanFollow(),
+            loop_, format, log_, era_, links_, settings, CanFollow(),
             {[this](stored_kind kind, const auto& objects) {
                applier_.OnChanges(kind, objects);
              },
@@ -190,6 +190,7 @@
             std::to_string(totals.pauses) + "\n";
     text += "papayaglade_store_calls_total " +
             std::to_string(mirror_.StoreCallCount()) + "\n";
+    text += StoreEraMetrics();
     text += "papayaglade_unreadable_entries_total " +
             std::to_string(applier_.UnreadableCount() +
                            mirror_.UnnamedEntryCount()) +
@@ -203,6 +204,18 @@
     return {200, text};
   }
 
+  std::string StoreEraMetrics() const {
+    std::string text;
+    if (era_.Known() != kNoEra) {
+      text += "papayaglade_store_era " + std::to_string(era_.Known()) + "\n";
+    }
+    text += "papayaglade_store_restores_total " +
+            std::to_string(era_.ChangeCount()) + "\n";
+    text += "papayaglade_store_old_answers_total " +
+            std::to_string(era_.OlderCount()) + "\n";
+    return text;
+  }
+
   void LogNotice(const upstream_record& upstream,
                  const upstream_notice& notice) {
     log_line line("upstream_notice");
@@ -391,6 +404,7 @@
   caller_port metrics_port_;
   boost::asio::signal_set signals_;
   store_object_applier applier_;
+  store_era era_;
   instance_links links_;
   relay_client relay_client_;
   relay_server relay_server_;
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -22,11 +22,12 @@
 }  // namespace
 
 store_feed::store_feed(loop_context& loop, const store_format& format,
-                       structured_log& log, endpoint store, stored_kind kind,
-                       milliseconds wait, handlers handlers)
+                       structured_log& log, store_era& era, endpoint store,
+                       stored_kind kind, milliseconds wait, handlers handlers)
     : loop_(loop),
       format_(format),
       log_(log),
+      era_(era),
       store_(std::move(store)),
       kind_(kind),
       handlers_(std::move(handlers)),
@@ -39,10 +40,10 @@
   Call();
 }
 
-void store_feed::SkipTo(std::int64_t revision) {
+void store_feed::SkipTo(const store_position& position) {
+  if (!plan_.SkipTo(position)) return;
   listed_objects_.clear();
   listed_ = true;
-  plan_.SkipTo(revision);
 }
 
 void store_feed::FailPendingWatch() {
@@ -71,9 +72,9 @@
     HandleFailure("no answer", OriginOfSilence());
   });
   std::string request =
-      next.is_list
-          ? format_.FormatListRequest(kind_, next.after_name, false)
-          : format_.FormatWatchRequest(kind_, next.revision, next.wait);
+      next.is_list ? format_.FormatListRequest(kind_, next.after_name, false)
+                   : format_.FormatWatchRequest(kind_, next.position.revision,
+                                                next.wait);
   channel_->Exchange(
       std::move(request), false,
       [this, call, next](const http_exchange_channel::result& result) {
@@ -85,29 +86,42 @@
                           const http_exchange_channel::result& result) {
   if (result.failure.has_value())
     return HandleFailure(result.why, OriginOfSilence());
-  const auto status = static_cast<int>(result.message.result_int());
+  EndCall();
+  const era_relation era = era_.Observe(format_.DecodeEra(result.message));
+  if (era == era_relation::kOlder)
+    return HandleFailure("an older era", failure_origin::kUnclear);
+  OnAnswer(completed, result.message);
+}
+
+void store_feed::OnAnswer(const feed_plan::call& completed,
+                          const upstream_message& answer) {
+  const auto status = static_cast<int>(answer.result_int());
   if (status != kStatusOk && status != kStatusGone)
     return HandleFailure("refused", failure_origin::kStore);
-  if (status == kStatusGone) {
-    RecordAnswer();
-    log_.Write(structured_log::kind::kEvent,
-               log_line("store_history_gone")
-                   .With("kind", StoredKindName(kind_))
-                   .With("revision", plan_.Revision()));
-    listed_objects_.clear();
-    return ScheduleCall(plan_.OnHistoryGone());
-  }
-  if (!completed.is_list) return OnEvents(completed, result.message.body());
-  if (plan_.IsListing()) return OnList(result.message.body());
+  if (status == kStatusGone) return OnHistoryGone();
+  if (!completed.is_list) return OnEvents(completed, answer.body());
+  if (plan_.IsListing()) return OnList(answer.body());
   // The state came from another source while the list was pending.
   RecordAnswer();
   ScheduleCall(milliseconds(0));
 }
 
+void store_feed::OnHistoryGone() {
+  RecordAnswer();
+  log_.Write(structured_log::kind::kEvent,
+             log_line("store_history_gone")
+                 .With("kind", StoredKindName(kind_))
+                 .With("era", plan_.Position().era)
+                 .With("revision", plan_.Position().revision));
+  listed_objects_.clear();
+  ScheduleCall(plan_.OnHistoryGone());
+}
+
 void store_feed::OnList(const std::string& body) {
   auto page = format_.DecodeList(kind_, body);
   if (!page.has_value())
     return HandleFailure("unreadable list", failure_origin::kUnclear);
+  page->position.era = era_.Known();
   RecordAnswer();
   if (listed_objects_.empty()) list_start_ = call_start_;
   CountUnnamed(*page);
@@ -115,30 +129,31 @@
     listed_objects_.push_back(std::move(each));
   const bool more =
       page->has_more && listed_objects_.size() < kMaxListedObjects;
-  ScheduleCall(plan_.OnPage(page->revision, more, page->last_name));
+  ScheduleCall(plan_.OnPage(page->position, more, page->last_name));
   if (plan_.IsListing()) return;
   listed_ = true;
   store_page full_page;
   full_page.objects = std::exchange(listed_objects_, {});
-  full_page.revision = plan_.Revision();
+  full_page.position = plan_.Position();
   handlers_.on_list(full_page, {list_start_, false});
 }
 
 void store_feed::OnEvents(const feed_plan::call& completed,
                           const std::string& body) {
-  const auto page = format_.DecodeEvents(kind_, body);
+  auto page = format_.DecodeEvents(kind_, body);
   if (!page.has_value())
     return HandleFailure("unreadable events", failure_origin::kUnclear);
+  page->position.era = era_.Known();
   const answer_time time = TimeOf(completed);
   RecordAnswer();
   CountUnnamed(*page);
-  milliseconds delay = plan_.OnEvents(page->revision, page->objects.size());
+  milliseconds delay = plan_.OnEvents(page->position, page->objects.size());
   const bool early = loop_context::Now() - call_start_ < completed.wait / 2;
-  if (early && page->revision <= completed.revision) {
+  if (early && page->position <= completed.position) {
     delay = std::max(delay, kRepeatedAnswerDelay);
   }
   ScheduleCall(delay);
-  handlers_.on_events(completed.revision, *page, time);
+  handlers_.on_events(completed.position, *page, time);
 }
 
 // The answer may have waited for this process after the store gave it, but the
@@ -161,15 +176,13 @@
              log_line("store_entries_skipped")
                  .With("kind", StoredKindName(kind_))
                  .With("count", static_cast<std::int64_t>(page.unnamed))
-                 .With("revision", page.revision)
+                 .With("revision", page.position.revision)
                  .With("why", "no usable name")
                  .With("remedy", "remove the entries from the store"));
 }
 
 void store_feed::HandleFailure(const char* why, failure_origin origin) {
-  if (timeout_.has_value()) loop_.Cancel(*timeout_);
-  timeout_.reset();
-  pending_call_ = 0;
+  EndCall();
   channel_->Close();
   const bool first_failure = !plan_.LastCallFailed();
   if (first_failure) {
@@ -177,7 +190,8 @@
                log_line("store_lost")
                    .With("kind", StoredKindName(kind_))
                    .With("why", why)
-                   .With("revision", plan_.Revision()));
+                   .With("era", plan_.Position().era)
+                   .With("revision", plan_.Position().revision));
   }
   const milliseconds delay = plan_.OnFailure();
   if (listed_ && resume_required_ && active_) {
@@ -197,16 +211,20 @@
   });
 }
 
-void store_feed::RecordAnswer() {
-  last_answer_ = loop_context::Now();
+void store_feed::EndCall() {
   if (timeout_.has_value()) loop_.Cancel(*timeout_);
   timeout_.reset();
   pending_call_ = 0;
+}
+
+void store_feed::RecordAnswer() {
+  last_answer_ = loop_context::Now();
+  EndCall();
   if (plan_.LastCallFailed()) {
     log_.Write(structured_log::kind::kEvent,
                log_line("store_regained")
                    .With("kind", StoredKindName(kind_))
-                   .With("revision", plan_.Revision()));
+                   .With("revision", plan_.Position().revision));
   }
   if (handlers_.on_answer) handlers_.on_answer();
 }
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -10,14 +10,15 @@
 
 #include "app/structured_log.h"
 #include "coordination/feed_plan.h"
+#include "coordination/store_era.h"
 #include "protocol/store_format.h"
 #include "transport/http_exchange_channel.h"
 
 namespace papayaglade {
 
 /// Follows all objects of one kind in the store: lists them, then watches for
-/// changes from the revision of the list. Lists again when the store no longer
-/// has the history of that revision.
+/// changes from the position of the list. Lists again when the store no longer
+/// has the history since that position.
 class store_feed {
  public:
   /// What an answer says about the age of its content.
@@ -29,11 +30,10 @@
     bool was_held = false;
   };
   struct handlers {
-    /// Receives all objects as of the revision of the page.
+    /// Receives all objects as of the position of the page.
     std::function<void(const store_page&, const answer_time&)> on_list;
-    /// Receives the changes after the revision `from`, up to the revision of
-    /// the page.
-    std::function<void(std::int64_t from, const store_page&,
+    /// Receives the changes after `from`, up to the position of the page.
+    std::function<void(const store_position& from, const store_page&,
                        const answer_time&)>
         on_events;
     /// Called when the store stops answering; may be empty.
@@ -47,15 +47,16 @@
 
   /// `wait` is how long the store may hold a watch that has no changes.
   store_feed(loop_context& loop, const store_format& format,
-             structured_log& log, endpoint store, stored_kind kind,
-             std::chrono::milliseconds wait, handlers handlers);
+             structured_log& log, store_era& era, endpoint store,
+             stored_kind kind, std::chrono::milliseconds wait,
+             handlers handlers);
 
   /// Starts or stops making calls. A feed is inactive at first.
   void SetActive(bool active);
 
-  /// Continues from `revision`, because the state as of this revision came from
-  /// another source.
-  void SkipTo(std::int64_t revision);
+  /// Continues from `position`, because the state as of then came from another
+  /// source.
+  void SkipTo(const store_position& position);
 
   /// Fails a pending watch, because another feed found that the store does not
   /// answer and the watch may never be answered.
@@ -81,6 +82,10 @@
   void Call();
   void OnResult(const feed_plan::call& completed,
                 const http_exchange_channel::result& result);
+  /// Handles an answer of the known era, or one that names none.
+  void OnAnswer(const feed_plan::call& completed,
+                const upstream_message& answer);
+  void OnHistoryGone();
   void OnList(const std::string& body);
   void OnEvents(const feed_plan::call& completed, const std::string& body);
   /// Counts and logs the entries of `page` that have no usable name.
@@ -94,11 +99,14 @@
   void HandleFailure(const char* why, failure_origin origin);
   answer_time TimeOf(const feed_plan::call& completed) const;
   void ScheduleCall(std::chrono::milliseconds delay);
+  /// Notes that no call is pending any more.
+  void EndCall();
   void RecordAnswer();
 
   loop_context& loop_;
   const store_format& format_;
   structured_log& log_;
+  store_era& era_;
   endpoint store_;
   stored_kind kind_;
   handlers handlers_;
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -64,11 +64,13 @@
 }  // namespace
 
 store_mirror::store_mirror(loop_context& loop, const store_format& format,
-                           structured_log& log, instance_links& links,
+                           structured_log& log, store_era& era,
+                           instance_links& links,
                            const entry_settings& settings, bool sharing,
                            handlers handlers)
     : loop_(loop),
       log_(log),
+      era_(era),
       name_(settings.name),
       control_(settings.control),
       seeds_(settings.seeds),
@@ -84,6 +86,8 @@
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
     if (i != kLivenessKind) kinds_[i].feed.SetResumeRequired();
   }
+  era_.Subscribe(
+      [this](std::int64_t before, std::int64_t now) { OnNewEra(before, now); });
   links_.AddHandlers(
       {[this](auto link) { OnOpen(link); },
        [this](auto link, const std::string& bytes) {
@@ -97,7 +101,7 @@
     const entry_settings& settings, bool sharing) {
   const stored_kind stored = kMirroredKinds[kind];
   return {object_mirror(stored),
-          store_feed(loop_, format, log_, settings.store, stored,
+          store_feed(loop_, format, log_, era_, settings.store, stored,
                      WatchWait(stored, settings.delays, sharing),
                      HandlersOf(kind))};
 }
@@ -106,9 +110,10 @@
   store_feed::handlers result;
   result.on_list = [this, kind](const store_page& page,
                                 const store_feed::answer_time& time) {
-    OnStorePage(kind, page_content::kWhole, 0, page, time);
+    OnStorePage(kind, page_content::kWhole, {}, page, time);
   };
-  result.on_events = [this, kind](std::int64_t from, const store_page& page,
+  result.on_events = [this, kind](const store_position& from,
+                                  const store_page& page,
                                   const store_feed::answer_time& time) {
     OnStorePage(kind, page_content::kChanges, from, page, time);
   };
@@ -170,19 +175,20 @@
 }
 
 void store_mirror::OnStorePage(std::size_t kind, page_content content,
-                               std::int64_t from, const store_page& page,
+                               const store_position& from,
+                               const store_page& page,
                                const store_feed::answer_time& time) {
   mirror_page mirrored;
   mirrored.kind = kMirroredKinds[kind];
   mirrored.content = content;
   mirrored.from = from;
-  mirrored.to = page.revision;
+  mirrored.to = page.position;
   for (const stored_object* each : LatestStates(page))
     mirrored.objects.push_back(ToMirroredObject(*each));
   if (time.was_held) Confirm(kind, time.confirmed_at);
   mirrored.confirmed_age = ConfirmedAge(kind);
   ApplyPage(kind, std::move(mirrored));
-  if (kinds_[kind].objects.Revision() >= page.revision)
+  if (kinds_[kind].objects.At() >= page.position)
     Confirm(kind, time.confirmed_at);
 }
 
@@ -207,9 +213,11 @@
 bool store_mirror::ApplyPage(std::size_t kind, mirror_page page) {
   mirrored_kind& own = kinds_[kind];
   const bool complete = own.objects.IsComplete();
-  const std::uint64_t before = own.objects.Digest();
+  const mirror_position before = own.objects.Position();
   const auto changes = own.objects.Apply(page);
   if (!changes.has_value()) return false;
+  if (complete && before.at.era != page.to.era)
+    LogEra(kind, before.at, *changes);
   if (complete && page.confirmed_age.has_value())
     Confirm(kind, loop_context::Now() - *page.confirmed_age);
   page.confirmed_age = ConfirmedAge(kind);
@@ -217,7 +225,8 @@
   if (complete && page.content == page_content::kWhole) {
     // Most followers have the same state as this copy had, and the list may be
     // long, so only the difference is sent.
-    mirror_page difference = own.objects.MakeDifference(before, *changes);
+    mirror_page difference =
+        own.objects.MakeDifference(before.digest, *changes);
     difference.confirmed_age = page.confirmed_age;
     followers_.Send(difference, CopyBytes());
   } else if (!complete || !page.objects.empty()) {
@@ -235,6 +244,49 @@
   return true;
 }
 
+void store_mirror::LogEra(std::size_t kind, const store_position& before,
+                          const std::vector<mirrored_object>& changes) {
+  const auto missing =
+      std::count_if(changes.begin(), changes.end(),
+                    [](const mirrored_object& each) { return each.deleted; });
+  const store_position& now = kinds_[kind].objects.At();
+  log_.Write(
+      structured_log::kind::kEvent,
+      log_line("store_era_read")
+          .With("kind", StoredKindName(kMirroredKinds[kind]))
+          .With("era", now.era)
+          .With("revision", now.revision)
+          .With("era_before", before.era)
+          .With("revision_before", before.revision)
+          .With("missing", static_cast<std::int64_t>(missing))
+          .With("changed", static_cast<std::int64_t>(changes.size()) - missing)
+          .With("ms", std::chrono::duration_cast<milliseconds>(
+                          loop_context::Now() - era_start_)
+                          .count()));
+}
+
+// Entries of upstreams that go on serving may be missing in the copy from which
+// the store was restored, as after an outage.
+void store_mirror::OnNewEra(std::int64_t before, std::int64_t era) {
+  era_start_ = loop_context::Now();
+  if (before != kNoEra) {
+    log_.Write(
+        structured_log::kind::kEvent,
+        log_line("store_restored").With("era", era).With("before", before));
+    OnStoreUnavailable();
+  }
+}
+
+// Instances of earlier versions name no era. Theirs is taken for that of the
+// copy, as they would do themselves.
+std::optional<store_position> store_mirror::CurrentPosition(
+    std::size_t kind, const store_position& position) const {
+  if (position.era == kNoEra)
+    return store_position(kinds_[kind].objects.At().era, position.revision);
+  if (position.era < era_.Known()) return std::nullopt;
+  return position;
+}
+
 void store_mirror::Send(instance_links::id link,
                         const mirror_message& message) {
   links_.Send(link, EncodeMirrorMessage(message));
@@ -318,7 +370,8 @@
 }
 
 source_report store_mirror::MakeReport(source_state state) const {
-  return {state, Positions(), ConfirmedAge(kUpstreamsKind), store_unavailable_};
+  return {state, Positions(), ConfirmedAge(kUpstreamsKind), store_unavailable_,
+          era_.Known()};
 }
 
 bool store_mirror::IsStoreAnswering(monotonic_time now) const {
@@ -343,7 +396,7 @@
 void store_mirror::Subscribe(instance_links::id link, source& from) {
   from.asked_positions = Positions();
   from.asked_at = loop_context::Now();
-  Send(link, mirror_subscription{name_, from.asked_positions});
+  Send(link, mirror_subscription{name_, from.asked_positions, era_.Known()});
 }
 
 // A link that was held up delivers many reports at once, and each answer may be
@@ -371,7 +424,9 @@
   for (const mirror_position& each : message.positions) {
     const std::size_t kind = IndexOf(each.kind);
     if (kind == kinds_.size()) continue;
-    const auto page = kinds_[kind].objects.PageSince(each);
+    mirror_position asked = each;
+    if (asked.at.era == kNoEra) asked.at.era = kinds_[kind].objects.At().era;
+    const auto page = kinds_[kind].objects.PageSince(asked);
     if (page.has_value()) followers_.SendMissed(link, *page, CopyBytes());
   }
   if (!is_new) return;
@@ -384,7 +439,12 @@
   if (from == sources_.end()) return;
   const std::size_t kind = IndexOf(page.kind);
   if (kind == kinds_.size()) return;
-  const bool newer = page.to > kinds_[kind].objects.Revision();
+  const auto position = CurrentPosition(kind, page.to);
+  if (!position.has_value()) return;
+  era_.Observe(position->era);
+  page.to = *position;
+  page.from.era = position->era;
+  const bool newer = page.to > kinds_[kind].objects.At();
   const bool applied = ApplyPage(kind, std::move(page));
   if (!applied && newer) AskForMissed(link, from->second);
 }
@@ -397,26 +457,32 @@
   selector_.OnReport(from->second.instance, report.state, now);
   if (report.state == source_state::kWatching) last_answer_ = now;
   bool lacks_changes = false;
-  for (const mirror_position& each : report.positions) {
-    const std::size_t kind = IndexOf(each.kind);
-    if (kind == kinds_.size()) continue;
-    mirrored_kind& own = kinds_[kind];
-    const bool has_changes = own.objects.AdvanceTo(each);
-    if (!has_changes) lacks_changes = true;
-    if (!own.objects.IsComplete()) {
-      // The answer to the first subscription may have been deferred.
-      if (each.revision > 0) lacks_changes = true;
-      continue;
-    }
-    own.feed.SkipTo(own.objects.Revision());
-    if (has_changes && report.upstreams_confirmed_age.has_value())
-      Confirm(kind, now - *report.upstreams_confirmed_age);
-  }
+  for (const mirror_position& each : report.positions)
+    lacks_changes |= CompareWith(each, report, now);
   if (report.store_unavailable) OnStoreUnavailable();
   if (lacks_changes) AskForMissed(link, from->second);
   UpdateSources(now);
 }
 
+bool store_mirror::CompareWith(const mirror_position& position,
+                               const source_report& report,
+                               monotonic_time now) {
+  const std::size_t kind = IndexOf(position.kind);
+  if (kind == kinds_.size()) return false;
+  const auto at = CurrentPosition(kind, position.at);
+  if (!at.has_value()) return false;
+  era_.Observe(at->era);
+  mirrored_kind& own = kinds_[kind];
+  const bool has_changes =
+      own.objects.AdvanceTo({position.kind, *at, position.digest});
+  // The answer to the first subscription may have been deferred.
+  if (!own.objects.IsComplete()) return position.at.revision > 0;
+  own.feed.SkipTo(own.objects.At());
+  if (has_changes && report.upstreams_confirmed_age.has_value())
+    Confirm(kind, now - *report.upstreams_confirmed_age);
+  return !has_changes;
+}
+
 void store_mirror::Receive(instance_links::id link,
                            const fleet_report& report) {
   if (sources_.count(link) == 0 || report.members.empty()) return;
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -42,7 +42,7 @@
   /// `sharing` is whether the bounds on the delay of changes allow this
   /// instance to follow others instead of watching the store.
   store_mirror(loop_context& loop, const store_format& format,
-               structured_log& log, instance_links& links,
+               structured_log& log, store_era& era, instance_links& links,
                const entry_settings& settings, bool sharing, handlers handlers);
 
   /// Starts to listen and to look for sources. Returns an empty string, or why
@@ -82,8 +82,9 @@
                          const entry_settings& settings, bool sharing);
   /// Returns the handlers of the feed of one kind, by index.
   store_feed::handlers HandlersOf(std::size_t kind);
-  void OnStorePage(std::size_t kind, page_content content, std::int64_t from,
-                   const store_page& page, const store_feed::answer_time& time);
+  void OnStorePage(std::size_t kind, page_content content,
+                   const store_position& from, const store_page& page,
+                   const store_feed::answer_time& time);
   /// Notes that the copy of one kind was that of the store at `time`, which is
   /// of use for the upstreams only.
   void Confirm(std::size_t kind, monotonic_time time);
@@ -93,6 +94,16 @@
   /// Applies a page to the copy of one kind and forwards it to the followers.
   /// Returns whether the page was applicable and newer than the copy.
   bool ApplyPage(std::size_t kind, mirror_page page);
+  /// Logs that the copy of one kind has come from a position in an earlier era
+  /// by these changes.
+  void LogEra(std::size_t kind, const store_position& before,
+              const std::vector<mirrored_object>& changes);
+  /// Handles that the store was restored.
+  void OnNewEra(std::int64_t before, std::int64_t era);
+  /// Returns a position of another instance in the copy of one kind, or nothing
+  /// if it is of an earlier era than the known one.
+  std::optional<store_position> CurrentPosition(
+      std::size_t kind, const store_position& position) const;
   void Send(instance_links::id link, const mirror_message& message);
   /// Handles a failed call of one feed.
   void OnStoreLost();
@@ -121,6 +132,10 @@
   void Receive(instance_links::id link, const mirror_subscription& message);
   void Receive(instance_links::id link, mirror_page page);
   void Receive(instance_links::id link, const source_report& report);
+  /// Compares the copy of one kind with that of a source. Returns whether it
+  /// lacks changes.
+  bool CompareWith(const mirror_position& position, const source_report& report,
+                   monotonic_time now);
   void Receive(instance_links::id link, const fleet_report& report);
   /// Sends this instance's positions to a source and asks for what is newer.
   void Subscribe(instance_links::id link, source& from);
@@ -133,6 +148,7 @@
 
   loop_context& loop_;
   structured_log& log_;
+  store_era& era_;
   std::string name_;
   endpoint control_;
   std::vector<std::string> seeds_;
@@ -157,6 +173,8 @@
   /// The store has been found unavailable since the upstreams were confirmed.
   bool store_unavailable_ = false;
   monotonic_time last_subscribe_time_;
+  /// When the known era was first noticed.
+  monotonic_time era_start_;
 };
 
 }  // namespace papayaglade
--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -32,19 +32,19 @@
   call next;
   next.is_list = is_listing_;
   next.after_name = last_name_;
-  next.revision = revision_;
+  next.position = position_;
   next.wait = last_call_failed_ ? kWatchWaitAfterFailure : watch_wait_;
   next.timeout = is_listing_ ? kListTimeout : next.wait + kWatchTimeoutMargin;
   return next;
 }
 
-milliseconds feed_plan::OnPage(std::int64_t revision, bool more,
+milliseconds feed_plan::OnPage(const store_position& position, bool more,
                                const std::string& last_name) {
   last_call_failed_ = false;
   backoff_ = milliseconds(0);
-  // Keeps the revision of the first page: changes made while the other pages
+  // Keeps the position of the first page: changes made while the other pages
   // are fetched arrive again with the watch.
-  if (last_name_.empty()) revision_ = revision;
+  if (last_name_.empty()) position_ = position;
   // The next page would repeat this one or the first.
   const bool advanced = !last_name.empty() && last_name != last_name_;
   is_listing_ = more && advanced;
@@ -52,11 +52,12 @@
   return milliseconds(0);
 }
 
-milliseconds feed_plan::OnEvents(std::int64_t revision, std::size_t count) {
+milliseconds feed_plan::OnEvents(const store_position& position,
+                                 std::size_t count) {
   history_gone_ = false;
   last_call_failed_ = false;
   backoff_ = milliseconds(0);
-  revision_ = std::max(revision_, revision);
+  position_ = std::max(position_, position);
   if (count >= kMinBacklogEvents) return milliseconds(0);
   if (count >= kMinBurstEvents) return kBurstWatchInterval;
   return count > 0 ? kWatchInterval : milliseconds(0);
@@ -71,10 +72,12 @@
   return repeated ? kRepeatedListDelay : milliseconds(0);
 }
 
-void feed_plan::SkipTo(std::int64_t revision) {
+bool feed_plan::SkipTo(const store_position& position) {
+  if (position <= position_) return false;
   is_listing_ = false;
   last_name_.clear();
-  revision_ = std::max(revision_, revision);
+  position_ = position;
+  return true;
 }
 
 milliseconds feed_plan::OnFailure() {
--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <string>
 
+#include "state/store_position.h"
+
 namespace papayaglade {
 
 /// Decides which call to the store a feed makes next, how long it waits for the
@@ -20,8 +22,8 @@
     bool is_list = true;
     /// The last name that a list received; empty for the first page.
     std::string after_name;
-    /// The revision from which a watch starts.
-    std::int64_t revision = 0;
+    /// The position from which a watch starts.
+    store_position position;
     /// The time for which the store may hold a watch open.
     std::chrono::milliseconds wait{0};
     /// Time after which the call is given up.
@@ -35,25 +37,26 @@
   call Next() const;
 
   /// These handle the end of a call and return the delay until the next one.
-  std::chrono::milliseconds OnPage(std::int64_t revision, bool more,
+  std::chrono::milliseconds OnPage(const store_position& position, bool more,
                                    const std::string& last_name);
-  std::chrono::milliseconds OnEvents(std::int64_t revision, std::size_t count);
+  std::chrono::milliseconds OnEvents(const store_position& position,
+                                     std::size_t count);
   std::chrono::milliseconds OnHistoryGone();
   std::chrono::milliseconds OnFailure();
 
-  /// Continues with watches from `revision`, because the state as of then came
-  /// from another source.
-  void SkipTo(std::int64_t revision);
+  /// Continues with watches from `position`, because the state as of then came
+  /// from another source. Returns false if the position is not a later one.
+  bool SkipTo(const store_position& position);
 
   bool IsListing() const { return is_listing_; }
   /// Returns whether the last call failed.
   bool LastCallFailed() const { return last_call_failed_; }
-  std::int64_t Revision() const { return revision_; }
+  const store_position& Position() const { return position_; }
 
  private:
   std::chrono::milliseconds watch_wait_;
   std::string last_name_;
-  std::int64_t revision_ = 0;
+  store_position position_;
   bool is_listing_ = true;
   bool last_call_failed_ = false;
   /// The history was gone, and no watch has been answered since.
--- a/src/coordination/object_mirror.cc
+++ b/src/coordination/object_mirror.cc
@@ -19,13 +19,14 @@
 std::optional<std::vector<mirrored_object>> object_mirror::Apply(
     const mirror_page& page) {
   if (page.kind != kind_) return std::nullopt;
-  if (complete_ && page.to <= revision_) return std::nullopt;
+  if (complete_ && page.to <= at_) return std::nullopt;
   if (!IsApplicable(page)) return std::nullopt;
   std::vector<mirrored_object> changes = ComputeChanges(page);
-  for (const mirrored_object& each : changes) ApplyObject(each, page.to);
+  MoveTo(page.to);
+  for (const mirrored_object& each : changes)
+    ApplyObject(each, page.to.revision);
   RecordPage(page);
   complete_ = true;
-  revision_ = page.to;
   return changes;
 }
 
@@ -34,7 +35,7 @@
     case page_content::kWhole:
       return true;
     case page_content::kChanges:
-      return complete_ && page.from <= revision_;
+      return complete_ && page.to.era == at_.era && page.from <= at_;
     case page_content::kDifference:
       return complete_ && page.base == digest_;
   }
@@ -85,12 +86,13 @@
 // copy that is between the page's revisions. Only pages of changes tell of all
 // changes, so after other pages such a copy gets all objects.
 void object_mirror::RecordPage(const mirror_page& page) {
+  const std::int64_t revision = page.to.revision;
   if (page.content != page_content::kChanges)
-    return ForgetChangesBefore(page.to);
+    return ForgetChangesBefore(revision);
   for (const mirrored_object& each : page.objects) {
     const auto known = objects_.find(each.name);
-    if (known != objects_.end()) known->second.changed_at = page.to;
-    if (each.deleted) RecordDeletion(each.name, page.to);
+    if (known != objects_.end()) known->second.changed_at = revision;
+    if (each.deleted) RecordDeletion(each.name, revision);
   }
   if (deletions_.size() <= kMaxDeletions) return;
   const std::size_t excess = deletions_.size() - kMaxDeletions;
@@ -114,20 +116,33 @@
     skipped_.pop_front();
 }
 
+// What is noted of changes are revisions of the era before.
+void object_mirror::MoveTo(const store_position& position) {
+  const bool same_era = position.era == at_.era;
+  at_ = position;
+  if (same_era) return;
+  for (auto& each : objects_) each.second.changed_at = 0;
+  deletions_.clear();
+  skipped_.clear();
+  changes_known_from_ = position.revision;
+}
+
 // Nothing changed between two ranges that meet, so they are one.
-void object_mirror::RecordSkipped(std::int64_t from) {
-  if (!skipped_.empty() && skipped_.back().to == from) {
-    skipped_.back().to = revision_;
+void object_mirror::RecordSkipped(const store_position& from) {
+  if (from.era != at_.era) return;
+  if (!skipped_.empty() && skipped_.back().to == from.revision) {
+    skipped_.back().to = at_.revision;
   } else {
-    skipped_.push_back({from, revision_});
+    skipped_.push_back({from.revision, at_.revision});
   }
   if (skipped_.size() > kMaxSkippedRanges)
     ForgetChangesBefore(skipped_.front().to);
 }
 
 // An object may have changed and changed back within a range that was skipped.
-bool object_mirror::KnowsChangesSince(std::int64_t revision) const {
-  if (revision < changes_known_from_) return false;
+bool object_mirror::KnowsChangesSince(const store_position& position) const {
+  const std::int64_t revision = position.revision;
+  if (position.era != at_.era || revision < changes_known_from_) return false;
   return std::none_of(skipped_.begin(), skipped_.end(),
                       [revision](const skipped_range& each) {
                         return each.from < revision && revision < each.to;
@@ -137,28 +152,25 @@
 // Without a look at the objects, changes that are still to come would be taken
 // for old ones.
 bool object_mirror::AdvanceTo(const mirror_position& position) {
-  if (!complete_ || position.revision <= revision_) return true;
+  if (!complete_ || position.at <= at_) return true;
   if (position.digest != digest_) return false;
-  mirror_page nothing;
-  nothing.kind = kind_;
-  nothing.from = revision_;
-  nothing.to = position.revision;
-  Apply(nothing);
-  RecordSkipped(nothing.from);
+  const store_position from = at_;
+  MoveTo(position.at);
+  RecordSkipped(from);
   return true;
 }
 
 std::optional<mirror_page> object_mirror::PageSince(
     const mirror_position& position) const {
-  if (!complete_ || position.revision >= revision_) return std::nullopt;
-  const bool first = position.revision == 0;
+  if (!complete_ || position.at >= at_) return std::nullopt;
+  const bool first = position.at.revision == 0;
   if (!first && position.digest == digest_) return MakeDifference(digest_, {});
-  const std::int64_t from = position.revision;
-  if (!KnowsChangesSince(from)) return MakeWholePage();
+  if (!KnowsChangesSince(position.at)) return MakeWholePage();
+  const std::int64_t from = position.at.revision;
   mirror_page page;
   page.kind = kind_;
-  page.from = from;
-  page.to = revision_;
+  page.from = position.at;
+  page.to = at_;
   for (const deletion& each : deletions_) {
     if (each.revision > from && objects_.count(each.name) == 0)
       page.objects.push_back({each.name, true, ""});
@@ -175,21 +187,21 @@
   mirror_page page;
   page.kind = kind_;
   page.content = page_content::kDifference;
-  page.to = revision_;
+  page.to = at_;
   page.base = base;
   page.objects = std::move(changes);
   return page;
 }
 
 mirror_position object_mirror::Position() const {
-  return {kind_, revision_, digest_};
+  return {kind_, at_, digest_};
 }
 
 mirror_page object_mirror::MakeWholePage() const {
   mirror_page page;
   page.kind = kind_;
   page.content = page_content::kWhole;
-  page.to = revision_;
+  page.to = at_;
   page.objects.reserve(objects_.size());
   for (const auto& each : objects_) {
     page.objects.push_back({each.first, false, each.second.document});
--- a/src/coordination/object_mirror.h
+++ b/src/coordination/object_mirror.h
@@ -14,8 +14,9 @@
 namespace papayaglade {
 
 /// A copy of the store's objects of one kind, which knows what has changed
-/// recently. It keeps the latest state of an object only. Its revision never
-/// decreases, whichever source a page comes from.
+/// recently. It keeps the latest state of an object only. Its position never
+/// goes back, whichever source a page comes from. In a new era of the store it
+/// starts with all objects, and knows no changes before.
 class object_mirror {
  public:
   explicit object_mirror(stored_kind kind) : kind_(kind) {}
@@ -45,7 +46,7 @@
 
   /// Returns whether a whole page was applied.
   bool IsComplete() const { return complete_; }
-  std::int64_t Revision() const { return revision_; }
+  const store_position& At() const { return at_; }
   std::size_t Size() const { return objects_.size(); }
   /// Returns the bytes of all names and documents.
   std::size_t Bytes() const { return bytes_; }
@@ -60,7 +61,7 @@
     std::string name;
     std::int64_t revision = 0;
   };
-  /// Revisions between these are ones at which this copy never was.
+  /// This copy never was at the revisions between these.
   struct skipped_range {
     std::int64_t from = 0;
     std::int64_t to = 0;
@@ -75,17 +76,19 @@
   /// Notes when the objects of a page changed, for PageSince.
   void RecordPage(const mirror_page& page);
   void RecordDeletion(const std::string& name, std::int64_t revision);
-  /// Notes that this copy has moved on from `from` to its revision without the
+  /// Notes that this copy has moved on from `from` to its position without the
   /// changes between them.
-  void RecordSkipped(std::int64_t from);
-  /// Returns whether all changes after `revision` are known.
-  bool KnowsChangesSince(std::int64_t revision) const;
+  void RecordSkipped(const store_position& from);
+  /// Returns whether all changes after `position` are known.
+  bool KnowsChangesSince(const store_position& position) const;
   /// Forgets what changed before `revision`.
   void ForgetChangesBefore(std::int64_t revision);
+  /// Moves to `position`. Forgets all changes if it is in another era.
+  void MoveTo(const store_position& position);
 
   stored_kind kind_;
   bool complete_ = false;
-  std::int64_t revision_ = 0;
+  store_position at_;
   std::uint64_t digest_ = 0;
   std::size_t bytes_ = 0;
   /// The objects, keyed by name.
@@ -93,7 +96,8 @@
   /// Deletions after `changes_known_from_`, oldest first, each object once. It
   /// may have been created again since.
   std::deque<deletion> deletions_;
-  /// All changes after this revision are known, except in these ranges.
+  /// All changes of the era after this revision are known, except in these
+  /// ranges.
   std::int64_t changes_known_from_ = 0;
   std::deque<skipped_range> skipped_;
 };
--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -30,7 +30,7 @@
   json out = json::array();
   for (const mirror_position& each : positions) {
     out.push_back(static_cast<int>(each.kind));
-    out.push_back(each.revision);
+    out.push_back(each.at.revision);
     out.push_back(each.digest);
   }
   return out;
@@ -40,12 +40,41 @@
   std::vector<mirror_position> positions;
   for (std::size_t i = 0; i < in.size(); i += 3) {
     positions.push_back({DecodeEnum(in.at(i), stored_kind::kInstances),
-                         DecodeInteger<std::int64_t>(in.at(i + 1)),
+                         {kNoEra, DecodeInteger<std::int64_t>(in.at(i + 1))},
                          DecodeInteger<std::uint64_t>(in.at(i + 2))});
   }
   return positions;
 }
 
+// One number where all eras are the same: that of the sender and those of the
+// positions. Otherwise an array of the sender's and then those of the
+// positions. Instances of earlier versions leave eras out and ignore those of
+// others.
+json EncodeEras(std::int64_t sender,
+                const std::vector<mirror_position>& positions) {
+  const bool same = std::all_of(
+      positions.begin(), positions.end(),
+      [&](const mirror_position& each) { return each.at.era == sender; });
+  if (same) return sender;
+  json eras = json::array({sender});
+  for (const mirror_position& each : positions) eras.push_back(each.at.era);
+  return eras;
+}
+
+std::int64_t DecodeEra(const json& in) {
+  return std::max(kNoEra, DecodeInteger<std::int64_t>(in));
+}
+
+// Sets the eras of the positions and returns that of the sender.
+std::int64_t DecodeEras(const json& message, std::size_t index,
+                        std::vector<mirror_position>& positions) {
+  if (index >= message.size()) return kNoEra;
+  const json& in = message.at(index);
+  for (std::size_t i = 0; i < positions.size(); ++i)
+    positions[i].at.era = DecodeEra(in.is_array() ? in.at(i + 1) : in);
+  return DecodeEra(in.is_array() ? in.at(0) : in);
+}
+
 // Instances of earlier versions leave ages out and ignore those of others.
 constexpr int kUnknownAge = -1;
 
@@ -70,7 +99,8 @@
 struct encoder {
   json operator()(const mirror_subscription& message) const {
     return json::array({static_cast<int>(message_type::kSubscription),
-                        message.instance, EncodePositions(message.positions)});
+                        message.instance, EncodePositions(message.positions),
+                        EncodeEras(message.era, message.positions)});
   }
 
   json operator()(const mirror_page& page) const {
@@ -81,17 +111,19 @@
       objects.push_back(
           json::binary({each.document.begin(), each.document.end()}));
     }
-    return json::array(
-        {static_cast<int>(message_type::kPage), static_cast<int>(page.kind),
-         static_cast<int>(page.content), page.from, page.to, page.base,
-         std::move(objects), EncodeAge(page.confirmed_age)});
+    return json::array({static_cast<int>(message_type::kPage),
+                        static_cast<int>(page.kind),
+                        static_cast<int>(page.content), page.from.revision,
+                        page.to.revision, page.base, std::move(objects),
+                        EncodeAge(page.confirmed_age), page.to.era});
   }
 
   json operator()(const source_report& report) const {
     return json::array(
         {static_cast<int>(message_type::kSource),
          static_cast<int>(report.state), EncodePositions(report.positions),
-         EncodeAge(report.upstreams_confirmed_age), report.store_unavailable});
+         EncodeAge(report.upstreams_confirmed_age), report.store_unavailable,
+         EncodeEras(report.era, report.positions)});
   }
 
   json operator()(const fleet_report& report) const {
@@ -117,8 +149,8 @@
   mirror_page page;
   page.kind = DecodeEnum(in.at(1), stored_kind::kInstances);
   page.content = DecodeEnum(in.at(2), page_content::kDifference);
-  page.from = DecodeInteger<std::int64_t>(in.at(3));
-  page.to = DecodeInteger<std::int64_t>(in.at(4));
+  page.from.revision = DecodeInteger<std::int64_t>(in.at(3));
+  page.to.revision = DecodeInteger<std::int64_t>(in.at(4));
   page.base = DecodeInteger<std::uint64_t>(in.at(5));
   const json& objects = in.at(6);
   for (std::size_t i = 0; i < objects.size(); i += 3) {
@@ -130,7 +162,10 @@
     page.objects.push_back(std::move(object));
   }
   constexpr std::size_t kAgeIndex = 7;
+  constexpr std::size_t kEraIndex = 8;
   page.confirmed_age = DecodeAge(in, kAgeIndex);
+  if (kEraIndex < in.size()) page.to.era = DecodeEra(in.at(kEraIndex));
+  page.from.era = page.to.era;
   return page;
 }
 
@@ -158,14 +193,24 @@
   report.upstreams_confirmed_age = DecodeAge(in, kAgeIndex);
   if (kUnavailableIndex < in.size())
     in.at(kUnavailableIndex).get_to(report.store_unavailable);
+  constexpr std::size_t kEraIndex = 5;
+  report.era = DecodeEras(in, kEraIndex, report.positions);
   return report;
 }
 
+mirror_subscription DecodeSubscription(const json& in) {
+  mirror_subscription subscription;
+  subscription.instance = in.at(1).get<std::string>();
+  subscription.positions = DecodePositions(in.at(2));
+  constexpr std::size_t kEraIndex = 3;
+  subscription.era = DecodeEras(in, kEraIndex, subscription.positions);
+  return subscription;
+}
+
 mirror_message Decode(const json& in) {
   switch (DecodeEnum(in.at(0), message_type::kFleet)) {
     case message_type::kSubscription:
-      return mirror_subscription{in.at(1).get<std::string>(),
-                                 DecodePositions(in.at(2))};
+      return DecodeSubscription(in);
     case message_type::kPage:
       return DecodePage(in);
     case message_type::kSource:
--- a/src/protocol/store_format.h
+++ b/src/protocol/store_format.h
@@ -9,8 +9,10 @@
 #include <string>
 #include <vector>
 
+#include "protocol/entry_wire_format.h"
 #include "protocol/fault.h"
 #include "state/route.h"
+#include "state/store_position.h"
 #include "state/stored_kind.h"
 #include "state/upstream_record.h"
 
@@ -32,7 +34,9 @@
 /// The reply to a list or a watch.
 struct store_page {
   std::vector<stored_object> objects;
-  std::int64_t revision = 0;  ///< Store revision to watch from.
+  /// Where to watch from. The era is that of the answer, not of its body, so
+  /// decoding the body leaves it out.
+  store_position position;
   /// True if a list is incomplete: list again after the last name.
   bool has_more = false;
   /// Name of the last entry, also if that entry is left out; empty if no name
@@ -62,6 +66,9 @@
   virtual std::string FormatDeleteRequest(stored_kind kind,
                                           const std::string& name) const = 0;
 
+  /// Returns the era in which the store gave an answer, whatever its status, or
+  /// kNoEra if the answer names none that can be read.
+  virtual std::int64_t DecodeEra(const upstream_message& answer) const = 0;
   /// Decodes the reply to a list of objects of `kind`. Returns std::nullopt if
   /// it is malformed as a whole; a malformed object does not affect the others.
   virtual std::optional<store_page> DecodeList(
--- a/src/state/mirror_message.h
+++ b/src/state/mirror_message.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "state/identity.h"
+#include "state/store_position.h"
 #include "state/stored_kind.h"
 
 namespace papayaglade {
@@ -32,8 +33,8 @@
 struct mirror_page {
   stored_kind kind = stored_kind::kConfiguration;
   page_content content = page_content::kChanges;
-  std::int64_t from = 0;   ///< Store revision, exclusive.
-  std::int64_t to = 0;     ///< Store revision, inclusive.
+  store_position from;     ///< Exclusive; in the era of `to`.
+  store_position to;       ///< Inclusive.
   std::uint64_t base = 0;  ///< Digest of the copy that kDifference applies to.
   /// The objects, in the order of their changes.
   std::vector<mirrored_object> objects;
@@ -42,16 +43,16 @@
   std::optional<std::chrono::milliseconds> confirmed_age;
 };
 
-/// The store revision up to which an instance has the objects of one kind, and
-/// the digest of its copy.
+/// The position up to which an instance has the objects of one kind, and the
+/// digest of its copy.
 struct mirror_position {
   stored_kind kind = stored_kind::kConfiguration;
-  std::int64_t revision = 0;
+  store_position at;
   std::uint64_t digest = 0;
 };
 
 inline bool operator==(const mirror_position& a, const mirror_position& b) {
-  return a.kind == b.kind && a.revision == b.revision && a.digest == b.digest;
+  return a.kind == b.kind && a.at == b.at && a.digest == b.digest;
 }
 
 /// One instance as listed in the store.
@@ -74,6 +75,9 @@
 struct mirror_subscription {
   std::string instance;  ///< Name of the subscriber.
   std::vector<mirror_position> positions;
+  /// The latest era of the store that the subscriber knows; the positions may
+  /// be of earlier ones.
+  std::int64_t era = kNoEra;
 };
 
 /// Sent periodically. All pages up to these positions have been sent.
@@ -85,6 +89,9 @@
   std::optional<std::chrono::milliseconds> upstreams_confirmed_age;
   /// The store has been found unavailable since then.
   bool store_unavailable = false;
+  /// The latest era of the store that the sender knows; the positions may be of
+  /// earlier ones.
+  std::int64_t era = kNoEra;
 };
 
 /// All instances that the sender knows.
--- a/tests/unit/feed_plan_test.cc
+++ b/tests/unit/feed_plan_test.cc
@@ -10,9 +10,11 @@
 
 constexpr milliseconds kWait{2500};
 
+store_position At(std::int64_t revision) { return {3, revision}; }
+
 feed_plan WatchingPlan() {
   feed_plan plan(kWait);
-  plan.OnPage(100, false, "z");
+  plan.OnPage(At(100), false, "z");
   return plan;
 }
 
@@ -23,39 +25,39 @@
   feed_plan plan(kWait);
   CHECK(plan.Next().is_list);
   CHECK(plan.Next().after_name.empty());
-  plan.OnPage(100, true, "m");
+  plan.OnPage(At(100), true, "m");
   CHECK(plan.Next().is_list);
   CHECK(plan.Next().after_name == "m");
-  plan.OnPage(107, false, "z");
+  plan.OnPage(At(107), false, "z");
   CHECK_FALSE(plan.Next().is_list);
-  CHECK(plan.Next().revision == 100);
+  CHECK(plan.Next().position.revision == 100);
   CHECK(plan.Next().wait == kWait);
 }
 
 TEST_CASE("a page without new names ends the list", "[feed]") {
   feed_plan plan(kWait);
-  plan.OnPage(100, true, "m");
-  plan.OnPage(100, true, "m");
+  plan.OnPage(At(100), true, "m");
+  plan.OnPage(At(100), true, "m");
   CHECK_FALSE(plan.Next().is_list);
 }
 
 // Guards against a list that begins again for ever and is never complete.
 TEST_CASE("an empty page ends the list, even if it announces more", "[feed]") {
   feed_plan plan(kWait);
-  plan.OnPage(100, true, "m");
-  plan.OnPage(100, true, "");
+  plan.OnPage(At(100), true, "m");
+  plan.OnPage(At(100), true, "");
   CHECK_FALSE(plan.Next().is_list);
-  CHECK(plan.Next().revision == 100);
+  CHECK(plan.Next().position.revision == 100);
 }
 
 TEST_CASE("a history that is gone again and again is not listed in a loop",
           "[feed]") {
   feed_plan plan = WatchingPlan();
   CHECK(plan.OnHistoryGone() == milliseconds(0));
-  plan.OnPage(300, false, "z");
+  plan.OnPage(At(300), false, "z");
   CHECK(plan.OnHistoryGone() > milliseconds(0));
-  plan.OnPage(300, false, "z");
-  plan.OnEvents(301, 1);
+  plan.OnPage(At(300), false, "z");
+  plan.OnEvents(At(301), 1);
   CHECK(plan.OnHistoryGone() == milliseconds(0));
 }
 
@@ -63,15 +65,15 @@
   feed_plan plan = WatchingPlan();
   plan.OnHistoryGone();
   CHECK(plan.Next().is_list);
-  plan.OnPage(300, false, "z");
-  CHECK(plan.Next().revision == 300);
+  plan.OnPage(At(300), false, "z");
+  CHECK(plan.Next().position.revision == 300);
 }
 
 TEST_CASE("a revision never goes back", "[feed]") {
   feed_plan plan = WatchingPlan();
-  plan.OnEvents(120, 1);
-  plan.OnEvents(110, 1);
-  CHECK(plan.Next().revision == 120);
+  plan.OnEvents(At(120), 1);
+  plan.OnEvents(At(110), 1);
+  CHECK(plan.Next().position.revision == 120);
 }
 
 // Guards against flooding the store with calls when hundreds of upstreams
@@ -84,7 +86,7 @@
     const std::int64_t total = elapsed.count() / 25;
     elapsed +=
         milliseconds(4) +
-        plan.OnEvents(100 + total, static_cast<std::size_t>(total - seen));
+        plan.OnEvents(At(100 + total), static_cast<std::size_t>(total - seen));
     seen = total;
     if (total == 0) elapsed += milliseconds(50);
   }
@@ -99,10 +101,10 @@
   feed_plan plan = WatchingPlan();
   milliseconds passed(0);
   for (std::int64_t remaining = 700; remaining > 0; remaining -= 50) {
-    passed += plan.OnEvents(800 - remaining, 50);
+    passed += plan.OnEvents(At(800 - remaining), 50);
   }
   CHECK(passed.count() == 0);
-  CHECK(plan.OnEvents(801, 1) > milliseconds(0));
+  CHECK(plan.OnEvents(At(801), 1) > milliseconds(0));
 }
 
 // Guards against missing changes after a silent outage, in which calls never
--- a/tests/unit/foreign_entries_test.cc
+++ b/tests/unit/foreign_entries_test.cc
@@ -108,12 +108,12 @@
   const platform_store_format store;
   const auto list = store.DecodeList(kKind, List(entries));
   REQUIRE(list.has_value());
-  CHECK(list->revision == 530);
+  CHECK(list->position.revision == 530);
   CHECK(UpstreamNames(*list) == expected);
   CHECK(Names(*list, "odd") == named);
   const auto events = store.DecodeEvents(kKind, Events(entries));
   REQUIRE(events.has_value());
-  CHECK(events->revision == 530);
+  CHECK(events->position.revision == 530);
   CHECK(UpstreamNames(*events) == expected);
   CHECK(Names(*events, "odd") == named);
 }
@@ -301,7 +301,7 @@
   const auto deep_member = store.DecodeList(
       kKind, R"({"new":)" + Deep() + R"(,"items":[],"at":5 })");
   REQUIRE(deep_member.has_value());
-  CHECK(deep_member->revision == 5);
+  CHECK(deep_member->position.revision == 5);
 }
 
 TEST_CASE("the last of two entries with one name holds", "[store][foreign]") {
--- a/tests/unit/mirror_codec_test.cc
+++ b/tests/unit/mirror_codec_test.cc
@@ -16,8 +16,8 @@
 mirror_page ExamplePage() {
   return {stored_kind::kUpstreams,
           page_content::kDifference,
-          7,
-          INT64_MAX,
+          {4, 7},
+          {4, INT64_MAX},
           UINT64_MAX,
           {{"i-1", false, std::string("\x00\xff", 2)}, {"i-2", true, ""}}};
 }
@@ -37,17 +37,26 @@
   CHECK(page.kind == stored_kind::kUpstreams);
   CHECK(page.content == page_content::kDifference);
   CHECK(page.base == UINT64_MAX);
-  CHECK(page.from == 7);
-  CHECK(page.to == INT64_MAX);
+  CHECK(page.from == store_position(4, 7));
+  CHECK(page.to == store_position(4, INT64_MAX));
   REQUIRE(page.objects.size() == 2);
   CHECK(page.objects[0].document == std::string("\x00\xff", 2));
   CHECK(page.objects[1].deleted);
-  const auto subscription = RoundTrip(
-      mirror_subscription{"a", {{stored_kind::kClosedDataCentres, 12, 5}}});
+  const auto subscription = RoundTrip(mirror_subscription{
+      "a", {{stored_kind::kClosedDataCentres, {4, 12}, 5}}});
   CHECK(subscription.instance == "a");
-  CHECK(subscription.positions.at(0).revision == 12);
+  CHECK(subscription.positions.at(0).at == store_position(4, 12));
   CHECK(subscription.positions.at(0).digest == 5);
+  const auto mixed =
+      RoundTrip(mirror_subscription{"a",
+                                    {{stored_kind::kUpstreams, {4, 12}, 5},
+                                     {stored_kind::kConfiguration, {5, 3}, 6}},
+                                    6});
+  CHECK(mixed.era == 6);
+  CHECK(mixed.positions.at(0).at == store_position(4, 12));
+  CHECK(mixed.positions.at(1).at == store_position(5, 3));
   const auto report = RoundTrip(source_report{source_state::kLost, {}});
+  CHECK(report.era == kNoEra);
   CHECK(report.state == source_state::kLost);
   CHECK_FALSE(report.upstreams_confirmed_age.has_value());
   CHECK_FALSE(report.store_unavailable);
@@ -72,11 +81,12 @@
 TEST_CASE("a source report takes at most 60 bytes", "[mirror]") {
   const source_report report{
       source_state::kWatching,
-      {{stored_kind::kConfiguration, 1'000'000, UINT64_MAX},
-       {stored_kind::kUpstreams, 1'000'000, UINT64_MAX},
-       {stored_kind::kClosedDataCentres, 1'000'000, UINT64_MAX}},
+      {{stored_kind::kConfiguration, {99, 1'000'000}, UINT64_MAX},
+       {stored_kind::kUpstreams, {99, 1'000'000}, UINT64_MAX},
+       {stored_kind::kClosedDataCentres, {99, 1'000'000}, UINT64_MAX}},
       std::chrono::seconds(60),
-      true};
+      true,
+      99};
   const std::size_t size = EncodeMirrorMessage(report).size();
   INFO(size);
   CHECK(size <= 60);
@@ -203,20 +213,29 @@
 }
 
 // Guards against a fleet that stops following while it is upgraded.
-TEST_CASE("messages of an earlier version have no ages", "[mirror]") {
+TEST_CASE("messages of an earlier version have no ages and no eras",
+          "[mirror]") {
   const auto encode = [](const nlohmann::json& message) {
     const auto bytes = nlohmann::json::to_cbor(message);
     return std::string(bytes.begin(), bytes.end());
   };
-  const auto report = DecodeMirrorMessage(
-      encode(nlohmann::json::array({2, 1, nlohmann::json::array()})));
+  const auto report =
+      DecodeMirrorMessage(encode(nlohmann::json::array({2, 1, {1, 700, 5}})));
   REQUIRE(report.has_value());
   CHECK_FALSE(
       std::get<source_report>(*report).upstreams_confirmed_age.has_value());
+  CHECK(std::get<source_report>(*report).era == kNoEra);
+  CHECK(std::get<source_report>(*report).positions.at(0).at ==
+        store_position(kNoEra, 700));
   const auto page = DecodeMirrorMessage(encode(
       nlohmann::json::array({1, 1, 0, 5, 6, 0, nlohmann::json::array()})));
   REQUIRE(page.has_value());
   CHECK_FALSE(std::get<mirror_page>(*page).confirmed_age.has_value());
+  CHECK(std::get<mirror_page>(*page).to == store_position(kNoEra, 6));
+  const auto subscription = DecodeMirrorMessage(
+      encode(nlohmann::json::array({0, "entry-1", {1, 700, 5}})));
+  REQUIRE(subscription.has_value());
+  CHECK(std::get<mirror_subscription>(*subscription).era == kNoEra);
 }
 
 }  // namespace papayaglade
--- a/tests/unit/mirror_followers_test.cc
+++ b/tests/unit/mirror_followers_test.cc
@@ -24,8 +24,8 @@
 
 mirror_page MakePage(std::int64_t to, std::size_t bytes = kLargeBytes) {
   mirror_page page;
-  page.from = to - 1;
-  page.to = to;
+  page.from = {1, to - 1};
+  page.to = {1, to};
   page.objects.push_back({"main", false, std::string(bytes, 'x')});
   return page;
 }
--- a/tests/unit/mirrored_instance.cc
+++ b/tests/unit/mirrored_instance.cc
@@ -30,8 +30,8 @@
   handlers.on_store_unavailable = [this](monotonic_time time) {
     unavailable_at = time;
   };
-  mirror = std::make_unique<store_mirror>(loop, format_, log_, links_, settings,
-                                          sharing, std::move(handlers));
+  mirror = std::make_unique<store_mirror>(
+      loop, format_, log_, era, links_, settings, sharing, std::move(handlers));
   REQUIRE(mirror->Start().empty());
 }
 
--- a/tests/unit/mirrored_instance.h
+++ b/tests/unit/mirrored_instance.h
@@ -27,6 +27,7 @@
   std::string SeedText() const;
 
   endpoint control = FindFreeEndpoint();
+  store_era era;
   std::unique_ptr<store_mirror> mirror;
   std::set<std::string> upstreams;
   std::set<std::pair<stored_kind, std::string>> received;
--- a/tests/unit/object_mirror_test.cc
+++ b/tests/unit/object_mirror_test.cc
@@ -12,11 +12,12 @@
 namespace {
 
 constexpr stored_kind kKind = stored_kind::kUpstreams;
+constexpr std::int64_t kEra = 3;
 
 mirror_page Page(std::int64_t from, std::int64_t to,
                  std::vector<mirrored_object> objects, bool whole = false) {
   const auto content = whole ? page_content::kWhole : page_content::kChanges;
-  return {kKind, content, from, to, 0, std::move(objects)};
+  return {kKind, content, {kEra, from}, {kEra, to}, 0, std::move(objects)};
 }
 
 object_mirror MirrorOf(std::vector<mirrored_object> objects, std::int64_t at) {
@@ -40,7 +41,7 @@
       mirror.Apply(Page(10, 12, {{"a", true, ""}, {"b", false, "2"}}));
   REQUIRE(next.has_value());
   CHECK(next->size() == 2);
-  CHECK(mirror.Revision() == 12);
+  CHECK(mirror.At().revision == 12);
   CHECK(mirror.Size() == 1);
 }
 
@@ -54,7 +55,7 @@
   other.kind = stored_kind::kConfiguration;
   CHECK_FALSE(mirror.Apply(other).has_value());
   CHECK(mirror.Size() == 1);
-  CHECK(mirror.Revision() == 10);
+  CHECK(mirror.At().revision == 10);
 }
 
 // Guards against undoing changes when the pages of two sources overlap: an
@@ -98,7 +99,7 @@
   CHECK_FALSE(follower.Apply(Page(11, 12, {{"b", false, "1"}})).has_value());
   source.Apply(Page(11, 12, {{"b", false, "1"}}));
   CHECK_FALSE(follower.AdvanceTo(source.Position()));
-  CHECK(follower.Revision() == 10);
+  CHECK(follower.At().revision == 10);
   CHECK(follower.Apply(*answer).has_value());
   CHECK_FALSE(follower.AdvanceTo(source.Position()));
   const auto rest = source.PageSince(follower.Position());
@@ -108,50 +109,119 @@
   CHECK(follower.AdvanceTo(source.Position()));
 }
 
+// Guards against a copy that refuses the state of a restored store, or takes
+// that of the store before for it, because it compares their revisions.
+TEST_CASE("revisions of different eras are not compared", "[mirror][era]") {
+  object_mirror mirror = MirrorOf({{"a", false, "1"}}, 500);
+  mirror_page restored = Page(0, 20, {{"b", false, "1"}}, true);
+  restored.to.era = kEra + 1;
+  SECTION("a later era is taken at a lower revision") {
+    const auto changes = mirror.Apply(restored);
+    REQUIRE(changes.has_value());
+    CHECK(changes->size() == 2);
+    CHECK(mirror.At() == store_position(kEra + 1, 20));
+    CHECK_FALSE(mirror.Apply(Page(0, 600, {}, true)).has_value());
+    CHECK_FALSE(mirror.Apply(Page(20, 600, {{"b", true, ""}})).has_value());
+    CHECK(mirror.Size() == 1);
+  }
+  SECTION("changes of another era do not apply") {
+    mirror_page changes = Page(100, 510, {{"a", true, ""}});
+    changes.from.era = changes.to.era = kEra + 1;
+    CHECK_FALSE(mirror.Apply(changes).has_value());
+  }
+  SECTION("a difference leads from one era to the next") {
+    object_mirror source = mirror;
+    const std::uint64_t base = source.Digest();
+    const auto changes = source.Apply(restored);
+    REQUIRE(changes.has_value());
+    CHECK(mirror.Apply(source.MakeDifference(base, *changes)).has_value());
+    CHECK(mirror.Digest() == source.Digest());
+    CHECK(mirror.At() == source.At());
+  }
+  SECTION("an equal copy moves to the next era") {
+    CHECK(mirror.AdvanceTo({kKind, {kEra + 1, 20}, mirror.Digest()}));
+    CHECK(mirror.At() == store_position(kEra + 1, 20));
+    CHECK(mirror.AdvanceTo({kKind, {kEra, 900}, 0}));
+    CHECK(mirror.At() == store_position(kEra + 1, 20));
+  }
+  SECTION("another copy does not") {
+    CHECK_FALSE(mirror.AdvanceTo({kKind, {kEra + 1, 900}, 1}));
+    CHECK(mirror.At() == store_position(kEra, 500));
+  }
+  SECTION("a copy of an earlier era gets all objects") {
+    object_mirror source = mirror;
+    source.Apply(restored);
+    const auto page = source.PageSince(mirror.Position());
+    REQUIRE(page.has_value());
+    CHECK(page->content == page_content::kWhole);
+    mirror.Apply(*page);
+    CHECK(mirror.Digest() == source.Digest());
+    CHECK_FALSE(mirror.PageSince({kKind, {kEra + 2, 1}, 0}).has_value());
+  }
+  SECTION("nothing is told of the changes before") {
+    mirror.Apply(Page(500, 501, {{"c", true, ""}, {"a", false, "2"}}));
+    mirror.Apply(restored);
+    mirror_page changes = Page(20, 21, {{"d", false, "1"}});
+    changes.from.era = changes.to.era = kEra + 1;
+    mirror.Apply(changes);
+    const auto page = mirror.PageSince({kKind, {kEra + 1, 20}, 0});
+    REQUIRE(page.has_value());
+    REQUIRE(page->objects.size() == 1);
+    CHECK(page->objects[0].name == "d");
+  }
+}
+
 TEST_CASE("a copy moves on where nothing has changed", "[mirror]") {
   object_mirror mirror = MirrorOf({{"a", false, "1"}}, 10);
-  CHECK(mirror.AdvanceTo({kKind, 15, mirror.Digest()}));
-  CHECK(mirror.Revision() == 15);
-  CHECK(mirror.AdvanceTo({kKind, 12, 0}));  // It is ahead.
-  CHECK(mirror.Revision() == 15);
+  CHECK(mirror.AdvanceTo({kKind, {kEra, 15}, mirror.Digest()}));
+  CHECK(mirror.At().revision == 15);
+  CHECK(mirror.AdvanceTo({kKind, {kEra, 12}, 0}));  // It is ahead.
+  CHECK(mirror.At().revision == 15);
   object_mirror empty(kKind);
-  CHECK(empty.AdvanceTo({kKind, 15, 0}));
+  CHECK(empty.AdvanceTo({kKind, {kEra, 15}, 0}));
   CHECK_FALSE(empty.IsComplete());
-  CHECK(empty.Revision() == 0);
+  CHECK(empty.At().revision == 0);
 }
 
 TEST_CASE("a copy that is a little behind gets changes, others get all objects",
           "[mirror]") {
   object_mirror mirror = MirrorOf({{"a", false, "1"}}, 10);
-  CHECK_FALSE(mirror.PageSince({kKind, 10, 0}).has_value());
-  CHECK(mirror.PageSince({kKind, 9, 0})->content == page_content::kWhole);
+  CHECK_FALSE(mirror.PageSince({kKind, {kEra, 10}, 0}).has_value());
+  CHECK(mirror.PageSince({kKind, {kEra, 9}, 0})->content ==
+        page_content::kWhole);
   mirror.Apply(Page(10, 11, {{"b", false, "1"}}));
-  CHECK(mirror.AdvanceTo({kKind, 15, mirror.Digest()}));
-  CHECK(mirror.Revision() == 15);
+  CHECK(mirror.AdvanceTo({kKind, {kEra, 15}, mirror.Digest()}));
+  CHECK(mirror.At().revision == 15);
   mirror.Apply(Page(15, 16, {{"c", false, "1"}}));
-  const auto since = mirror.PageSince({kKind, 11, 0});
+  const auto since = mirror.PageSince({kKind, {kEra, 11}, 0});
   REQUIRE(since.has_value());
   CHECK(since->content == page_content::kChanges);
-  CHECK(since->from == 11);
-  CHECK(since->to == 16);
-  CHECK(mirror.PageSince({kKind, 15, 0})->content == page_content::kChanges);
-  CHECK(mirror.PageSince({kKind, 12, 0})->content == page_content::kWhole);
+  CHECK(since->from.revision == 11);
+  CHECK(since->to.revision == 16);
+  CHECK(mirror.PageSince({kKind, {kEra, 15}, 0})->content ==
+        page_content::kChanges);
+  CHECK(mirror.PageSince({kKind, {kEra, 12}, 0})->content ==
+        page_content::kWhole);
   for (int i = 0; i < 1000; ++i) {
     mirror.Apply(Page(16 + i, 17 + i, {{"c", false, std::to_string(i)}}));
   }
-  const auto missed = mirror.PageSince({kKind, 16, 0});
+  const auto missed = mirror.PageSince({kKind, {kEra, 16}, 0});
   REQUIRE(missed.has_value());
   CHECK(missed->content == page_content::kChanges);
   REQUIRE(missed->objects.size() == 1);
   CHECK(missed->objects.at(0).document == "999");
-  CHECK(mirror.PageSince({kKind, 1010, 0})->content == page_content::kChanges);
+  CHECK(mirror.PageSince({kKind, {kEra, 1010}, 0})->content ==
+        page_content::kChanges);
   for (int i = 0; i < 1000; ++i) {
     const std::string name = "short-lived-" + std::to_string(i);
     mirror.Apply(Page(1016 + i, 1017 + i, {{name, true, ""}}));
   }
-  CHECK(mirror.PageSince({kKind, 16, 0})->content == page_content::kWhole);
-  CHECK(mirror.PageSince({kKind, 1016, 0})->content == page_content::kWhole);
-  CHECK(mirror.PageSince({kKind, 2010, 0})->content == page_content::kChanges);
+  CHECK(mirror.PageSince({kKind, {kEra, 16}, 0})->content ==
+        page_content::kWhole);
+  CHECK(mirror.PageSince({kKind, {kEra, 1016}, 0})->content ==
+        page_content::kWhole);
+  CHECK(mirror.PageSince({kKind, {kEra, 2010}, 0})->content ==
+        page_content::kChanges);
 }
 
 // Guards against LOST: a process that is asked for what was missed answers with
@@ -170,8 +240,8 @@
   }
   const std::size_t whole = mirror.Bytes();
   CHECK(whole < 3 * kDocumentBytes);
-  for (std::int64_t from = 1; from < mirror.Revision(); ++from) {
-    const auto page = mirror.PageSince({kKind, from, 0});
+  for (std::int64_t from = 1; from < mirror.At().revision; ++from) {
+    const auto page = mirror.PageSince({kKind, {kEra, from}, 0});
     REQUIRE(page.has_value());
     std::size_t bytes = 0;
     std::set<std::string> names;
@@ -194,8 +264,8 @@
   source.Apply(Page(10, 11, {{"b", false, "1"}}));
   between.Apply(Page(10, 12, {{"b", false, "1"}, {"a", false, "2"}}));
   // The object is back at its former state since 14.
-  REQUIRE(source.AdvanceTo({kKind, 14, source.Digest()}));
-  REQUIRE(source.AdvanceTo({kKind, 16, source.Digest()}));
+  REQUIRE(source.AdvanceTo({kKind, {kEra, 14}, source.Digest()}));
+  REQUIRE(source.AdvanceTo({kKind, {kEra, 16}, source.Digest()}));
   source.Apply(Page(16, 17, {{"c", false, "1"}}));
   const auto page = source.PageSince(between.Position());
   REQUIRE(page.has_value());
@@ -204,7 +274,7 @@
   CHECK(between.Digest() == source.Digest());
   // Those from the ends of what was skipped have the same objects as it had.
   for (const std::int64_t end : {11, 16}) {
-    const auto changes = source.PageSince({kKind, end, 0});
+    const auto changes = source.PageSince({kKind, {kEra, end}, 0});
     REQUIRE(changes.has_value());
     CHECK(changes->content == page_content::kChanges);
     CHECK(changes->objects.size() == 1);
@@ -217,17 +287,17 @@
   for (std::int64_t i = 0; i < kRanges; ++i) {
     const std::int64_t at = 10 + 10 * i;
     mirror.Apply(Page(at, at + 1, {{"a", false, std::to_string(i)}}));
-    mirror.AdvanceTo({kKind, at + 10, mirror.Digest()});
+    mirror.AdvanceTo({kKind, {kEra, at + 10}, mirror.Digest()});
   }
-  for (std::int64_t from = 1; from < mirror.Revision(); ++from) {
-    const auto page = mirror.PageSince({kKind, from, 0});
+  for (std::int64_t from = 1; from < mirror.At().revision; ++from) {
+    const auto page = mirror.PageSince({kKind, {kEra, from}, 0});
     REQUIRE(page.has_value());
     const bool inside = from % 10 > 1;
     if (inside) CHECK(page->content == page_content::kWhole);
     CHECK(page->objects.size() <= 1);
   }
-  CHECK(mirror.PageSince({kKind, mirror.Revision() - 10, 0})->content ==
-        page_content::kChanges);
+  CHECK(mirror.PageSince({kKind, {kEra, mirror.At().revision - 10}, 0})
+            ->content == page_content::kChanges);
 }
 
 TEST_CASE("a difference applies only to a copy of the same objects",
@@ -244,39 +314,62 @@
   CHECK(difference.objects.size() == 2);
   CHECK(same.Apply(difference).has_value());
   CHECK(same.Digest() == source.Digest());
-  CHECK(same.Revision() == 20);
+  CHECK(same.At().revision == 20);
   CHECK_FALSE(other.Apply(difference).has_value());
   // A copy of the same objects gets only the revision.
-  const auto nothing = source.PageSince({kKind, 15, source.Digest()});
+  const auto nothing = source.PageSince({kKind, {kEra, 15}, source.Digest()});
   REQUIRE(nothing.has_value());
   CHECK(nothing->objects.empty());
   CHECK(source.PageSince(other.Position())->content == page_content::kWhole);
 }
 
+// Copies of a store that is restored from an older state now and then must end
+// with its latest one, whatever they have handed each other meanwhile.
 TEST_CASE("copies that follow each other converge to the store", "[mirror]") {
+  const bool restoring = GENERATE(false, true);
   for (std::uint32_t seed = 1; seed <= 300; ++seed) {
     std::mt19937 random(seed);
+    std::int64_t era = kEra;
+    std::map<std::string, std::string> saved;
+    std::int64_t saved_revision = 100;
     std::map<std::string, std::string> store;
     std::vector<mirror_page> log;
     std::vector<object_mirror> copies(4, object_mirror(kKind));
     std::int64_t revision = 100;
     const auto whole = [&] {
       mirror_page page = Page(0, revision, {}, true);
+      page.to.era = era;
       for (const auto& each : store) {
         page.objects.push_back({each.first, false, each.second});
       }
       return page;
     };
-    const auto events = [&](std::int64_t from) {
+    const auto events = [&](const store_position& position) {
+      // A copy of an earlier era has to list, as the store has no history of
+      // it.
+      if (position.era != era) return whole();
+      const std::int64_t from = position.revision;
       mirror_page page = Page(from, revision, {});
+      page.from.era = page.to.era = era;
       for (const mirror_page& each : log) {
-        if (each.to > from) page.objects.push_back(each.objects.front());
+        if (each.to.revision > from)
+          page.objects.push_back(each.objects.front());
       }
       return page;
     };
     for (int step = 0; step < 200; ++step) {
       const std::string name(1, static_cast<char>('a' + random() % 5));
       object_mirror& copy = copies[random() % copies.size()];
+      if (restoring && step % 40 == 10) {
+        saved = store;
+        saved_revision = revision;
+      }
+      if (restoring && step % 40 == 25) {
+        store = saved;
+        revision = saved_revision;
+        log.clear();
+        ++era;
+      }
       switch (random() % 6) {
         case 0:
         case 1: {
@@ -301,7 +394,7 @@
           break;
         }
         case 3:
-          if (copy.IsComplete()) copy.Apply(events(copy.Revision()));
+          if (copy.IsComplete()) copy.Apply(events(copy.At()));
           break;
         case 4: {
           const auto page =
@@ -315,9 +408,9 @@
       }
     }
     for (object_mirror& each : copies) {
-      if (each.IsComplete()) each.Apply(events(each.Revision()));
+      if (each.IsComplete()) each.Apply(events(each.At()));
       if (!each.IsComplete()) each.Apply(whole());
-      const auto all = each.PageSince({kKind, 0, 0});
+      const auto all = each.PageSince({kKind, {era, 0}, 0});
       REQUIRE(all.has_value());
       std::map<std::string, std::string> held;
       object_mirror fresh(kKind);
--- a/tests/unit/platform_store_format_test.cc
+++ b/tests/unit/platform_store_format_test.cc
@@ -125,7 +125,7 @@
           "garbage",{"meta":{}},{"meta":{"name":"b"}}],
           "has_more":true,"at":530})");
   REQUIRE(list.has_value());
-  CHECK(list->revision == 530);
+  CHECK(list->position.revision == 530);
   CHECK(list->has_more);
   REQUIRE(list->objects.size() == 2);
   CHECK(list->objects[0].name == "a");
--- /dev/null
+++ b/tests/unit/restored_store_test.cc
@@ -0,0 +1,108 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "mirrored_instance.h"
+
+namespace papayaglade {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+bool AllReceived(const instance_list& instances, stored_kind kind,
+                 const std::string& name) {
+  return std::all_of(instances.begin(), instances.end(), [&](const auto& each) {
+    return each->received.count({kind, name}) == 1;
+  });
+}
+
+void RunFor(loop_context& loop, milliseconds time) {
+  const monotonic_time start = loop_context::Now();
+  RunUntil(loop, [&] { return loop_context::Now() - start >= time; });
+}
+
+}  // namespace
+
+// Guards against instances that refuse the state of a restored store for good,
+// because its revisions are below those they know: an acknowledged
+// configuration is never applied (review/11).
+TEST_CASE("the state of a restored store is taken at a lower revision",
+          "[mirror][era]") {
+  const bool sharing = GENERATE(false, true);
+  loop_context loop;
+  store_standin store(loop);
+  store.Put("servers", "i-1", json::object());
+  instance_list instances;
+  if (sharing) {
+    instances = MakeInstances(loop, store.Address(), 4);
+  } else {
+    instances.push_back(std::make_unique<mirrored_instance>(
+        loop, store.Address(), "entry-1", false));
+  }
+  const auto copy = store.Copy();
+  for (const char* lost : {"i-2", "i-3", "i-4"})
+    store.Put("servers", lost, json::object());
+  REQUIRE(RunUntil(loop, [&] {
+    return AllKnow(instances, {"i-1", "i-2", "i-3", "i-4"});
+  }));
+  store.Restore(copy);
+  CHECK(RunUntil(loop, [&] { return AllKnow(instances, {"i-1"}); }));
+  store.Put("config", "main", {{"version", 14}});
+  CHECK(RunUntil(loop, [&] {
+    return AllReceived(instances, stored_kind::kConfiguration, "main");
+  }));
+}
+
+// Guards against a copy that goes back to the state before a restore, when an
+// answer that was given before it arrives late.
+TEST_CASE("an answer of an older era changes nothing", "[mirror][era]") {
+  loop_context loop;
+  store_standin store(loop);
+  store.SetEra(7);
+  const mirrored_instance instance(loop, store.Address(), "entry-1", false);
+  REQUIRE(RunUntil(loop, [&] { return instance.mirror->Complete(); }));
+  store.SetEra(6);
+  store.Put("servers", "i-1", json::object());
+  RunFor(loop, milliseconds(700));
+  CHECK(instance.upstreams.empty());
+  CHECK(instance.era.OlderCount() > 0);
+  CHECK(instance.era.Known() == 7);
+  store.SetEra(7);
+  CHECK(RunUntil(loop, [&] { return instance.upstreams.count("i-1") == 1; }));
+}
+
+// A store that names no era, or no longer does, is followed by its revisions.
+TEST_CASE("changes of a store that names no era are taken", "[mirror][era]") {
+  loop_context loop;
+  store_standin store(loop);
+  const bool named_before = GENERATE(false, true);
+  if (!named_before) store.SetEra(kNoEra);
+  const instance_list instances = MakeInstances(loop, store.Address(), 3);
+  REQUIRE(RunUntil(loop, [&] { return AllKnow(instances, {}); }));
+  store.SetEra(kNoEra);
+  store.Put("servers", "i-1", json::object());
+  CHECK(RunUntil(loop, [&] { return AllKnow(instances, {"i-1"}); }));
+}
+
+// An era may begin at any number, also at 0.
+TEST_CASE("the first era is no restore, the next one is", "[mirror][era]") {
+  loop_context loop;
+  store_standin store(loop);
+  store.SetEra(0);
+  const mirrored_instance instance(loop, store.Address(), "entry-1", false);
+  REQUIRE(RunUntil(loop, [&] { return instance.mirror->Complete(); }));
+  CHECK(instance.era.ChangeCount() == 0);
+  CHECK_FALSE(instance.unavailable_at.has_value());
+  CHECK(store.ListCount("servers") == 1);
+  store.Restore(store.Copy());
+  CHECK(RunUntil(loop, [&] { return instance.era.ChangeCount() == 1; }));
+  // Entries may be missing that are back soon.
+  CHECK(instance.unavailable_at.has_value());
+}
+
+}  // namespace papayaglade
--- a/tests/unit/store_standin.cc
+++ b/tests/unit/store_standin.cc
@@ -16,12 +16,6 @@
 constexpr std::chrono::seconds kRunTimeout{10};
 constexpr std::size_t kMaxConnections = 100;
 
-std::string Answer(int status, const std::string& body) {
-  return "HTTP/1.1 " + std::to_string(status) +
-         " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
-}
-
 std::int64_t QueryNumber(const std::string& target, const std::string& key) {
   const auto at = target.find(key + "=");
   if (at == std::string::npos) return -1;
@@ -78,6 +72,13 @@
   Put(kind, name, mark);
 }
 
+std::string store_standin::Answer(int status, const std::string& body) const {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
+  if (era_ != kNoEra) head += "Store-Era: " + std::to_string(era_) + "\r\n";
+  return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
 std::string store_standin::Format(const json& body) const {
   std::string text = body.dump();
   for (const auto& each : texts_) {
@@ -119,6 +120,19 @@
   });
 }
 
+store_standin::copy store_standin::Copy() const {
+  return {revision_, objects_, events_};
+}
+
+void store_standin::Restore(const copy& from) {
+  for (const char* kind : {"config", "servers", "evacuations"})
+    RefuseWaitingWatches(kind);
+  ++era_;
+  revision_ = from.revision;
+  objects_ = from.objects;
+  events_ = from.events;
+}
+
 std::size_t store_standin::ListCount(const std::string& kind) const {
   const auto found = lists_.find(kind);
   return found == lists_.end() ? 0 : found->second;
@@ -137,7 +151,14 @@
   if (down_) return from->Respond(Answer(503, ""), false);
   if (message.method() == boost::beast::http::verb::post) {
     const json body = json::parse(message.body());
-    Put(kind, body["meta"]["name"], body["spec"]);
+    const std::string name = body["meta"]["name"];
+    if (Has(kind, name)) return from->Respond(Answer(409, "{}"), false);
+    creation_times_.push_back(loop_context::Now());
+    Put(kind, name, body["spec"]);
+    return from->Respond(Answer(200, "{}"), false);
+  }
+  if (message.method() == boost::beast::http::verb::delete_) {
+    Delete(kind, target.substr(target.rfind('/') + 1));
     return from->Respond(Answer(200, "{}"), false);
   }
   const std::int64_t since = QueryNumber(target, "watch");
@@ -145,6 +166,7 @@
     return List(from, kind,
                 target.find("after=&") != std::string::npos ||
                     target.substr(target.size() - 6) == "after=");
+  if (since > revision_) return from->Respond(Answer(410, "{}"), false);
   const watch added{++last_watch_, kind, since, from};
   if (AnswerWatch(added, early_answers_)) return;
   watches_.push_back(added);
@@ -176,6 +198,7 @@
                      {"has_more", later_pages_ != later_pages::kNone},
                      {"at", revision_}};
   to->Respond(Answer(200, Format(body)), false);
+  if (on_list_) on_list_(kind);
 }
 
 bool store_standin::AnswerWatch(const watch& watch, bool answer_if_empty) {
--- a/tests/unit/store_standin.h
+++ b/tests/unit/store_standin.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "state/identity.h"
+#include "state/store_position.h"
 #include "transport/caller_port.h"
 
 namespace papayaglade {
@@ -26,6 +27,18 @@
 /// A stand-in for the platform's store that runs on the event loop of a test.
 class store_standin : public caller_port::service {
  public:
+  struct event {
+    std::int64_t revision = 0;
+    std::string kind;
+    nlohmann::json body;
+  };
+  /// What a copy of the store holds.
+  struct copy {
+    std::int64_t revision = 0;
+    std::map<std::pair<std::string, std::string>, nlohmann::json> objects;
+    std::vector<event> events;
+  };
+
   explicit store_standin(loop_context& loop);
 
   const endpoint& Address() const { return address_; }
@@ -54,6 +67,29 @@
   /// Refuses the waiting watches on `kind`.
   void RefuseWaitingWatches(const std::string& kind);
 
+  copy Copy() const;
+  /// Comes back from a copy in a new era and gives out its later revisions
+  /// again. Watches that wait now are refused.
+  void Restore(const copy& from);
+  /// Sets the era that all answers name; none if it is kNoEra.
+  void SetEra(std::int64_t era) { era_ = era; }
+  /// Calls `on_list` after each answer to a list.
+  void SetOnList(std::function<void(const std::string& kind)> on_list) {
+    on_list_ = std::move(on_list);
+  }
+  bool Has(const std::string& kind, const std::string& name) const {
+    return objects_.count({kind, name}) == 1;
+  }
+  /// Returns the content of an object.
+  const nlohmann::json& ContentOf(const std::string& kind,
+                                  const std::string& name) const {
+    return objects_.at({kind, name});
+  }
+  /// Returns the times at which objects were created by calls.
+  const std::vector<monotonic_time>& CreationTimes() const {
+    return creation_times_;
+  }
+
   /// Returns how often `kind` has been listed.
   std::size_t ListCount(const std::string& kind) const;
   std::size_t WaitingWatchCount(const std::string& kind) const;
@@ -66,11 +102,6 @@
                    bool too_large) override;
 
  private:
-  struct event {
-    std::int64_t revision = 0;
-    std::string kind;
-    nlohmann::json body;
-  };
   struct watch {
     std::uint64_t number = 0;
     std::string kind;
@@ -78,6 +109,7 @@
     std::shared_ptr<caller_connection> connection;
   };
 
+  std::string Answer(int status, const std::string& body) const;
   void AddEvent(const std::string& kind, const std::string& name, bool deleted);
   void List(const std::shared_ptr<caller_connection>& to,
             const std::string& kind, bool first_page);
@@ -103,6 +135,9 @@
   std::vector<event> events_;
   std::list<watch> watches_;
   std::map<std::string, std::size_t> lists_;
+  std::int64_t era_ = 1;
+  std::function<void(const std::string& kind)> on_list_;
+  std::vector<monotonic_time> creation_times_;
 };
 
 }  // namespace papayaglade
--- a/tests/unit/upstream_directory_test.cc
+++ b/tests/unit/upstream_directory_test.cc
@@ -176,12 +176,12 @@
     object_mirror mirror(kind);
     mirror.Apply({kind,
                   page_content::kWhole,
-                  0,
-                  1,
+                  {1, 0},
+                  {1, 1},
                   0,
                   {{"a", false, "1"}, {"b", false, "1"}}});
     const auto changes = mirror.Apply(
-        {kind, page_content::kWhole, 0, 2, 0, {{"b", false, "1"}}});
+        {kind, page_content::kWhole, {1, 0}, {1, 2}, 0, {{"b", false, "1"}}});
     REQUIRE(changes.has_value());
     for (const mirrored_object& each : *changes) {
       REQUIRE(each.deleted);
--- a/tests/unit/watch_wait_test.cc
+++ b/tests/unit/watch_wait_test.cc
@@ -18,12 +18,12 @@
 // worst case, just after the watch before it was answered.
 milliseconds LongestDelay(milliseconds wait) {
   feed_plan plan(wait);
-  plan.OnPage(100, false, "z");
-  milliseconds elapsed = plan.OnEvents(101, 1);
+  plan.OnPage({1, 100}, false, "z");
+  milliseconds elapsed = plan.OnEvents({1, 101}, 1);
   elapsed += plan.Next().timeout;
   // The feed that looks for the store goes first, the others resume after it.
   elapsed += plan.OnFailure() + kCallTime;
-  return elapsed + plan.OnEvents(101, 0) + kCallTime;
+  return elapsed + plan.OnEvents({1, 101}, 0) + kCallTime;
 }
 
 }  // namespace
