--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -46,6 +46,24 @@
   listed_ = true;
 }
 
+void store_feed::StartEra() {
+  if (!plan_.StartEra(era_.Known())) return;
+  listed_objects_.clear();
+  if (pending_call_ != 0) Recall();
+}
+
+void store_feed::ListAgain() {
+  if (plan_.IsListing() || pending_call_ == 0) return;
+  plan_.ListAgain();
+  Recall();
+}
+
+void store_feed::Recall() {
+  EndCall();
+  channel_->Close();
+  ScheduleCall(milliseconds(0));
+}
+
 void store_feed::FailPendingWatch() {
   if (plan_.LastCallFailed() || plan_.IsListing() || pending_call_ == 0) return;
   HandleFailure("suspected", failure_origin::kUnclear);
@@ -99,6 +117,12 @@
   if (status != kStatusOk && status != kStatusGone)
     return HandleFailure("refused", failure_origin::kStore);
   if (status == kStatusGone) return OnHistoryGone();
+  // What continues from a position of another era does not belong to it.
+  const bool continues = !completed.is_list || !completed.after_name.empty();
+  if (continues && completed.position.era != era_.Known()) {
+    RecordAnswer();
+    return ScheduleCall(milliseconds(0));
+  }
   if (!completed.is_list) return OnEvents(completed, answer.body());
   if (plan_.IsListing()) return OnList(answer.body());
   // The state came from another source while the list was pending.
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -58,6 +58,13 @@
   /// source.
   void SkipTo(const store_position& position);
 
+  /// Lists again if what was read is of an era before the known one. A call
+  /// that is pending is given up.
+  void StartEra();
+
+  /// Gives up a pending watch and lists instead.
+  void ListAgain();
+
   /// Fails a pending watch, because another feed found that the store does not
   /// answer and the watch may never be answered.
   void FailPendingWatch();
@@ -86,6 +93,8 @@
   void OnAnswer(const feed_plan::call& completed,
                 const upstream_message& answer);
   void OnHistoryGone();
+  /// Gives up a pending call and makes the next one now.
+  void Recall();
   void OnList(const std::string& body);
   void OnEvents(const feed_plan::call& completed, const std::string& body);
   /// Counts and logs the entries of `page` that have no usable name.
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -275,6 +275,15 @@
         log_line("store_restored").With("era", era).With("before", before));
     OnStoreUnavailable();
   }
+  for (mirrored_kind& each : kinds_) each.feed.StartEra();
+}
+
+// The word of another instance is no proof of an era, but a reason to ask the
+// store.
+void store_mirror::OnReportedEra(std::int64_t era) {
+  if (era <= era_.Known() || era <= reported_era_) return;
+  reported_era_ = era;
+  kinds_[kLivenessKind].feed.ListAgain();
 }
 
 // Instances of earlier versions name no era. Theirs is taken for that of the
@@ -421,6 +430,7 @@
   if (!serving_) return links_.Close(link);
   const monotonic_time now = loop_context::Now();
   const bool is_new = followers_.Add(link, message.instance, now);
+  OnReportedEra(message.era);
   for (const mirror_position& each : message.positions) {
     const std::size_t kind = IndexOf(each.kind);
     if (kind == kinds_.size()) continue;
@@ -456,6 +466,7 @@
   const monotonic_time now = loop_context::Now();
   selector_.OnReport(from->second.instance, report.state, now);
   if (report.state == source_state::kWatching) last_answer_ = now;
+  OnReportedEra(report.era);
   bool lacks_changes = false;
   for (const mirror_position& each : report.positions)
     lacks_changes |= CompareWith(each, report, now);
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -98,8 +98,11 @@
   /// by these changes.
   void LogEra(std::size_t kind, const store_position& before,
               const std::vector<mirrored_object>& changes);
-  /// Handles that the store was restored.
+  /// Lists again what was read of the store before it was restored.
   void OnNewEra(std::int64_t before, std::int64_t era);
+  /// Handles an era that another instance knows, but whose state it may not
+  /// have.
+  void OnReportedEra(std::int64_t era);
   /// Returns a position of another instance in the copy of one kind, or nothing
   /// if it is of an earlier era than the known one.
   std::optional<store_position> CurrentPosition(
@@ -175,6 +178,8 @@
   monotonic_time last_subscribe_time_;
   /// When the known era was first noticed.
   monotonic_time era_start_;
+  /// The latest era that another instance reported.
+  std::int64_t reported_era_ = kNoEra;
 };
 
 }  // namespace papayaglade
--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -80,6 +80,16 @@
   return true;
 }
 
+// The next position of the feed must be of the new era, or later.
+bool feed_plan::StartEra(std::int64_t era) {
+  if (position_.era >= era) return false;
+  const bool had_read = position_.revision > 0;
+  position_ = {era, 0};
+  is_listing_ = true;
+  last_name_.clear();
+  return had_read;
+}
+
 milliseconds feed_plan::OnFailure() {
   last_call_failed_ = true;
   backoff_ = std::clamp(2 * backoff_, kInitialBackoff, kMaxBackoff);
--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -48,6 +48,13 @@
   /// from another source. Returns false if the position is not a later one.
   bool SkipTo(const store_position& position);
 
+  /// Begins with a list if the position is of an era before `era`, to which no
+  /// watch can be continued. Returns whether anything had been read before.
+  bool StartEra(std::int64_t era);
+
+  /// Makes the next call a list.
+  void ListAgain() { is_listing_ = true; }
+
   bool IsListing() const { return is_listing_; }
   /// Returns whether the last call failed.
   bool LastCallFailed() const { return last_call_failed_; }
--- a/tests/unit/feed_plan_test.cc
+++ b/tests/unit/feed_plan_test.cc
@@ -69,6 +69,35 @@
   CHECK(plan.Next().position.revision == 300);
 }
 
+// Guards against a watch that continues from a position in the history before
+// the store was restored.
+TEST_CASE("a new era begins with a list", "[feed][era]") {
+  feed_plan plan = WatchingPlan();
+  CHECK_FALSE(plan.StartEra(3));
+  CHECK_FALSE(plan.Next().is_list);
+  CHECK(plan.StartEra(4));
+  CHECK(plan.Next().is_list);
+  // A source that has not noticed the restore.
+  CHECK_FALSE(plan.SkipTo(At(700)));
+  CHECK(plan.Next().is_list);
+  SECTION("the list is read") {
+    plan.OnPage({4, 20}, true, "m");
+    plan.OnPage({4, 21}, false, "z");
+    CHECK(plan.Next().position == store_position(4, 20));
+  }
+  SECTION("the state comes from another source") {
+    CHECK(plan.SkipTo({4, 30}));
+    CHECK_FALSE(plan.Next().is_list);
+    CHECK(plan.Next().position == store_position(4, 30));
+  }
+}
+
+TEST_CASE("the first era restarts nothing", "[feed][era]") {
+  feed_plan plan(kWait);
+  CHECK_FALSE(plan.StartEra(5));
+  CHECK(plan.Next().is_list);
+}
+
 TEST_CASE("a revision never goes back", "[feed]") {
   feed_plan plan = WatchingPlan();
   plan.OnEvents(At(120), 1);
--- a/tests/unit/restored_store_test.cc
+++ b/tests/unit/restored_store_test.cc
@@ -58,6 +58,53 @@
   }));
 }
 
+// Guards against instances that skip what a restored store wrote under the
+// revisions that it gave out again: no 410 tells them that their position is
+// gone, and an acknowledged evacuation is never seen (review/12).
+TEST_CASE("no change of a restored store is skipped", "[mirror][era]") {
+  const bool sharing = GENERATE(false, true);
+  loop_context loop;
+  store_standin store(loop);
+  store.Put("servers", "i-1", json::object());
+  instance_list instances;
+  if (sharing) {
+    instances = MakeInstances(loop, store.Address(), 4);
+  } else {
+    instances.push_back(std::make_unique<mirrored_instance>(
+        loop, store.Address(), "entry-1", false));
+  }
+  const auto copy = store.Copy();
+  store.Put("servers", "i-2", json::object());
+  store.Put("servers", "i-3", json::object());
+  REQUIRE(RunUntil(loop, [&] {
+    return AllKnow(instances, {"i-1", "i-2", "i-3"});
+  }));
+  store.Restore(copy);
+  store.Put("evacuations", "huye", json::object());
+  for (const char* later : {"i-4", "i-5", "i-6"})
+    store.Put("servers", later, json::object());
+  CHECK(RunUntil(loop, [&] {
+    return AllReceived(instances, stored_kind::kClosedDataCentres, "huye") &&
+           AllKnow(instances, {"i-1", "i-4", "i-5", "i-6"});
+  }));
+}
+
+// Guards against a list whose pages are of two eras.
+TEST_CASE("a list that a restore interrupts begins again", "[mirror][era]") {
+  loop_context loop;
+  store_standin store(loop);
+  const auto copy = store.Copy();
+  store.Put("servers", "i-1", json::object());
+  store.SetLaterPages(store_standin::later_pages::kEmpty);
+  const mirrored_instance instance(loop, store.Address(), "entry-1", false);
+  store.SetOnList([&](const std::string& kind) {
+    if (kind == "servers" && store.ListCount(kind) == 1) store.Restore(copy);
+  });
+  CHECK(RunUntil(loop, [&] { return instance.mirror->Complete(); }));
+  CHECK(instance.upstreams.empty());
+  CHECK(instance.era.Known() == 2);
+}
+
 // Guards against a copy that goes back to the state before a restore, when an
 // answer that was given before it arrives late.
 TEST_CASE("an answer of an older era changes nothing", "[mirror][era]") {
@@ -105,4 +152,45 @@
   CHECK(instance.unavailable_at.has_value());
 }
 
+// Guards against a source whose own watches have gone silent, while an instance
+// that follows it has heard of the restore from another call.
+TEST_CASE("an era that a follower knows makes its source ask the store",
+          "[mirror][era]") {
+  loop_context loop;
+  store_standin store(loop);
+  mirrored_instance source(loop, store.Address(), "entry-1", false);
+  REQUIRE(RunUntil(loop, [&] { return source.mirror->Complete(); }));
+  store.SetDown(true);
+  mirrored_instance follower(loop, store.Address(), "entry-2", false,
+                             {source.SeedText()});
+  REQUIRE(RunUntil(loop, [&] { return follower.mirror->Complete(); }));
+  store.SetDown(false);
+  const std::size_t lists = store.ListCount("evacuations");
+  follower.era.Observe(2);
+  CHECK(RunUntil(loop,
+                 [&] { return store.ListCount("evacuations") == lists + 1; }));
+  // The store has not been restored: its word counts.
+  RunFor(loop, milliseconds(300));
+  CHECK(source.era.Known() == 1);
+  CHECK(store.ListCount("evacuations") == lists + 1);
+}
+
+TEST_CASE("two restores within a second leave no instance behind",
+          "[mirror][era]") {
+  loop_context loop;
+  store_standin store(loop);
+  store.Put("servers", "i-1", json::object());
+  const auto copy = store.Copy();
+  const instance_list instances = MakeInstances(loop, store.Address(), 4);
+  store.Put("servers", "i-2", json::object());
+  REQUIRE(RunUntil(loop, [&] { return AllKnow(instances, {"i-1", "i-2"}); }));
+  store.Restore(copy);
+  store.Put("servers", "i-3", json::object());
+  RunFor(loop, milliseconds(250));
+  store.Restore(copy);
+  store.Put("servers", "i-4", json::object());
+  CHECK(RunUntil(loop, [&] { return AllKnow(instances, {"i-1", "i-4"}); }));
+  for (const auto& each : instances) CHECK(each->era.Known() == 3);
+}
+
 }  // namespace papayaglade
