--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -80,7 +80,7 @@
              [this](monotonic_time time) {
                directory_.OnStoreUnavailable(time);
              }}),
-        registry_(loop_, format, log_, settings.store,
+        registry_(loop_, format, log_, era_, settings.store,
                   {settings.name, settings.data_centre, settings.control,
                    settings.cores},
                   [this](const fleet_position& fleet,
@@ -213,6 +213,8 @@
             std::to_string(era_.ChangeCount()) + "\n";
     text += "papayaglade_store_old_answers_total " +
             std::to_string(era_.OlderCount()) + "\n";
+    text += "papayaglade_instance_entered_again_total " +
+            std::to_string(registry_.ReentryCount()) + "\n";
     return text;
   }
 
--- a/src/state/mirror_message.h
+++ b/src/state/mirror_message.h
@@ -64,6 +64,11 @@
   double cores = 0;  ///< CPU cores available to it; 0 if unknown.
 };
 
+inline bool operator==(const fleet_member& a, const fleet_member& b) {
+  return a.name == b.name && a.data_centre == b.data_centre &&
+         a.control == b.control && a.cores == b.cores;
+}
+
 /// The way in which a source, an instance that others follow, gets its state.
 enum class source_state {
   kFollowing,  ///< The instance gets its objects from another instance.
