--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -119,6 +119,9 @@
                                                       mirror_.LastAnswer());
     });
     service_.SetRelays(&relay_client_);
+    era_.Subscribe([this](std::int64_t before, std::int64_t /*now*/) {
+      if (before != kNoEra) applier_.OnNewEra(loop_context::Now());
+    });
     failed = mirror_.Start();
     if (!failed.empty()) return BindFailure("control", failed);
     AwaitSignal();
@@ -247,6 +250,7 @@
                    log_line("upstream_dropped").With("upstream", each));
       }
       upstream_client_.CloseUnusedConnections();
+      applier_.ApplyDeferred(now);
       ScheduleSweep();
     });
   }
--- a/src/app/store_object_applier.cc
+++ b/src/app/store_object_applier.cc
@@ -15,6 +15,8 @@
 // The metric has the number of all unreadable upstreams.
 constexpr std::size_t kMaxUnreadableLines = 20;
 constexpr std::size_t kMaxLoggedNameBytes = 64;
+// What was written since the copy of a restored store is written again by then.
+constexpr std::chrono::milliseconds kRewriteTime{2500};
 // Logged where the list of upstreams was never confirmed.
 constexpr std::chrono::milliseconds kUnknownAge{-1};
 
@@ -61,7 +63,13 @@
 }
 
 void store_object_applier::Apply(tier_configuration configuration) {
-  if (configuration.version <= version_) return;
+  if (configuration.version < version_) {
+    return log_.Write(structured_log::kind::kEvent,
+                      log_line("configuration_outdated")
+                          .With("version", configuration.version)
+                          .With("kept", version_));
+  }
+  if (configuration.version == version_) return;
   log_.Write(
       structured_log::kind::kEvent,
       log_line("configuration")
@@ -87,6 +95,8 @@
       return "unreadable";
     case upstream_change::kOutdated:
       return "outdated";
+    case upstream_change::kDeferred:
+      return "deferred";
   }
   return "unknown";
 }
@@ -117,20 +127,28 @@
 
 store_object_applier::upstream_change store_object_applier::ApplyUpstream(
     const stored_object& object, monotonic_time now) {
+  deferred_upstreams_.erase(object.name);
   fault_list faults;
   std::optional<upstream_record> record;
   if (!object.deleted) record = format_.DecodeUpstream(object, faults);
-  if (record.has_value()) {
-    if (!directory_.Update(*record, now)) return upstream_change::kOutdated;
-    return record->leaving ? upstream_change::kDraining
-                           : upstream_change::kReady;
-  }
+  if (record.has_value()) return ApplyRecord(object, *record, now);
   directory_.Remove(object.name, now);
   if (object.deleted) return upstream_change::kGone;
   OnUnreadableUpstream(object, faults);
   return upstream_change::kUnreadable;
 }
 
+store_object_applier::upstream_change store_object_applier::ApplyRecord(
+    const stored_object& object, const upstream_record& record,
+    monotonic_time now) {
+  if (deferred_until_.has_value() && directory_.IsRemoved(record)) {
+    deferred_upstreams_[object.name] = object;
+    return upstream_change::kDeferred;
+  }
+  if (!directory_.Update(record, now)) return upstream_change::kOutdated;
+  return record.leaving ? upstream_change::kDraining : upstream_change::kReady;
+}
+
 void store_object_applier::OnUnreadableUpstream(const stored_object& object,
                                                 const fault_list& faults) {
   ++unreadable_;
@@ -148,16 +166,41 @@
 void store_object_applier::OnClosedDataCentres(
     const std::vector<stored_object>& objects) {
   for (const stored_object& each : objects) {
-    if (each.deleted) {
+    deferred_openings_.erase(each.name);
+    const bool is_closed = closed_data_centres_.count(each.name) != 0;
+    const bool deferred =
+        each.deleted && is_closed && deferred_until_.has_value();
+    if (deferred) {
+      deferred_openings_.insert(each.name);
+    } else if (each.deleted) {
       closed_data_centres_.erase(each.name);
     } else {
       closed_data_centres_.insert(each.name);
     }
     log_.Write(structured_log::kind::kEvent,
-               log_line(each.deleted ? "data_centre_in" : "data_centre_out")
+               log_line(deferred       ? "data_centre_in_deferred"
+                        : each.deleted ? "data_centre_in"
+                                       : "data_centre_out")
                    .With("data_centre", each.name));
   }
   directory_.SetClosedDataCentres(closed_data_centres_);
 }
 
+void store_object_applier::OnNewEra(monotonic_time now) {
+  deferred_until_ = now + kRewriteTime;
+}
+
+void store_object_applier::ApplyDeferred(monotonic_time now) {
+  if (!HasPassed(deferred_until_, now)) return;
+  deferred_until_.reset();
+  std::vector<stored_object> upstreams;
+  for (auto& each : std::exchange(deferred_upstreams_, {}))
+    upstreams.push_back(std::move(each.second));
+  std::vector<stored_object> openings;
+  for (const std::string& each : std::exchange(deferred_openings_, {}))
+    openings.push_back({each, true});
+  if (!upstreams.empty()) OnUpstreams(upstreams);
+  if (!openings.empty()) OnClosedDataCentres(openings);
+}
+
 }  // namespace papayaglade
--- a/src/app/store_object_applier.h
+++ b/src/app/store_object_applier.h
@@ -2,6 +2,7 @@
 #define PAPAYAGLADE_APP_STORE_OBJECT_APPLIER_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -16,7 +17,9 @@
 
 /// Applies objects of the store to the directory and the service: the
 /// configuration, upstreams and closed data centres. A configuration with a
-/// version that is not above the current one is ignored.
+/// version that is not above the current one is ignored. A restored store may
+/// still lack what was written since its copy, so for a short time what the
+/// copy would undo is deferred.
 class store_object_applier {
  public:
   /// The references must outlive this object.
@@ -26,6 +29,11 @@
   /// Applies changed objects of one kind; each object occurs once.
   void OnChanges(stored_kind kind, const std::vector<stored_object>& objects);
 
+  /// Handles that the store was restored, before its state is applied.
+  void OnNewEra(monotonic_time now);
+  /// Applies what was deferred, once the time for that is over.
+  void ApplyDeferred(monotonic_time now);
+
   /// Returns the number of changes that could not be read as a configuration or
   /// an upstream.
   std::uint64_t UnreadableCount() const { return unreadable_; }
@@ -37,6 +45,7 @@
     kGone,
     kUnreadable,
     kOutdated,  ///< A later report of the upstream is known.
+    kDeferred,  ///< It was gone, and the store may have come back from before.
   };
 
   static const char* UpstreamChangeName(upstream_change change);
@@ -47,6 +56,9 @@
   /// Applies one object and returns the new state of its upstream.
   upstream_change ApplyUpstream(const stored_object& object,
                                 monotonic_time now);
+  upstream_change ApplyRecord(const stored_object& object,
+                              const upstream_record& record,
+                              monotonic_time now);
   /// Counts and logs an object that does not describe an upstream.
   void OnUnreadableUpstream(const stored_object& object,
                             const fault_list& faults);
@@ -62,6 +74,12 @@
   std::int64_t version_ = -1;
   /// Names of the closed data centres.
   std::set<std::string> closed_data_centres_;
+  /// The end of the time in which changes are deferred, after a restore.
+  std::optional<monotonic_time> deferred_until_;
+  /// Entries of upstreams that were gone, keyed by name.
+  std::map<std::string, stored_object> deferred_upstreams_;
+  /// Closed data centres that the store no longer lists.
+  std::set<std::string> deferred_openings_;
 };
 
 }  // namespace papayaglade
--- a/src/coordination/known_upstream.h
+++ b/src/coordination/known_upstream.h
@@ -24,6 +24,9 @@
   /// The process itself has said that it leaves. Its entry does not change
   /// that.
   bool announced_leaving = false;
+  /// Its entry was removed, not only missing after an outage of the store, and
+  /// is not back.
+  bool removed = false;
   /// A pause that the upstream has asked for.
   send_pause pause;
   /// The upstream is cold before this time.
--- a/src/coordination/upstream_directory.cc
+++ b/src/coordination/upstream_directory.cc
@@ -60,8 +60,8 @@
 // of it. It says nothing about the time after a later report.
 bool upstream_directory::Update(const upstream_record& record,
                                 monotonic_time now) {
-  const auto last = LastSequence(record);
-  const bool outdated = last.has_value() && record.sequence < *last;
+  const auto last = LastReport(record);
+  const bool outdated = last.has_value() && record.sequence < last->sequence;
   if (outdated && !record.leaving) return false;
   const auto found = upstreams_.find(record.id);
   if (found != upstreams_.end() &&
@@ -95,7 +95,8 @@
     siblings.insert(position, known);
   }
   known->record = record;
-  if (outdated) known->record.sequence = *last;
+  if (outdated) known->record.sequence = last->sequence;
+  known->removed = false;
   known->warm_at = now + record.warmup_remaining;
   if (record.leaving) {
     StartDraining(*known, LeavingSince(now));
@@ -106,17 +107,22 @@
   return true;
 }
 
-std::optional<std::int64_t> upstream_directory::LastSequence(
+std::optional<upstream_directory::last_report> upstream_directory::LastReport(
     const upstream_record& record) const {
   if (record.start_time_ms == 0) return std::nullopt;
   const auto found = upstreams_.find(record.id);
   if (found != upstreams_.end() &&
       IsSameProcess(found->second->record, record)) {
-    return found->second->record.sequence;
+    return last_report{found->second->record.sequence, found->second->removed};
   }
   const upstream_restriction* restriction = restrictions_.Find(record);
   if (restriction == nullptr) return std::nullopt;
-  return restriction->sequence;
+  return last_report{restriction->sequence, restriction->removed};
+}
+
+bool upstream_directory::IsRemoved(const upstream_record& record) const {
+  const auto last = LastReport(record);
+  return last.has_value() && last->removed && record.sequence <= last->sequence;
 }
 
 void upstream_directory::RememberLeaving(const upstream_record& record,
@@ -134,6 +140,7 @@
     restriction.usable_until = upstream.usable_until;
   restriction.pause = upstream.pause;
   restriction.sequence = upstream.record.sequence;
+  restriction.removed = upstream.removed;
   restrictions_.Remember(upstream.record, restriction);
 }
 
@@ -160,6 +167,7 @@
   known_upstream& upstream = *found->second;
   StartDraining(upstream, may_have_lapsed ? now : LeavingSince(now));
   if (may_have_lapsed) return;
+  upstream.removed = true;
   Remember(upstream);
 }
 
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -44,6 +44,9 @@
   /// later report of the process is known, unless the record says that it
   /// leaves.
   bool Update(const upstream_record& record, monotonic_time now);
+  /// Returns whether the entry of the process in `record` was removed since its
+  /// report in the record.
+  bool IsRemoved(const upstream_record& record) const;
   /// Applies what the process of `upstream` says about itself. It binds this
   /// instance for as long as that process lives, whatever becomes of its entry.
   /// Returns true if it is new.
@@ -145,9 +148,14 @@
     std::chrono::duration<double> mean_interval{0};
   };
 
-  /// Returns the sequence of the last known report of the process in `record`,
-  /// or nothing if the process is unknown or cannot be told from others.
-  std::optional<std::int64_t> LastSequence(const upstream_record& record) const;
+  struct last_report {
+    std::int64_t sequence = 0;
+    bool removed = false;  ///< The entry was removed after it.
+  };
+
+  /// Returns the last known report of the process in `record`, or nothing if
+  /// the process is unknown or cannot be told from others.
+  std::optional<last_report> LastReport(const upstream_record& record) const;
   /// Keeps what outlives the entry of an upstream.
   void Remember(const known_upstream& upstream);
   /// Keeps the report of an unknown upstream that leaves, beside what was kept
--- a/src/coordination/upstream_restrictions.h
+++ b/src/coordination/upstream_restrictions.h
@@ -21,6 +21,7 @@
   std::optional<monotonic_time> usable_until;
   send_pause pause;
   std::int64_t sequence = 0;  ///< Of its last report.
+  bool removed = false;       ///< Its entry was removed after that report.
 
   /// Returns whether that time is over.
   bool HasLeft(monotonic_time now) const {
