--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -76,6 +76,8 @@
 # Guards against requests to upstreams that have said, in their answers, that they leave or want a pause.
 soak_runs+=("--only announce_leaving --seed 3 --seconds 8")
 soak_runs+=("--only turn_away --seed 2 --seconds 6")
+# Guards against instances that keep the state of a store that was restored from a copy, or stay out of its list.
+soak_runs+=("--only restore_store --seed 4 --seconds 6")
 # Guards against processes that exceed their memory, and instances that keep an old configuration, where large ones are
 # missed.
 soak_runs+=("--only large_changes --seed 1 --seconds 6")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 from .instance import ZONES
 from .notices import NoticeFaults
 from .operator_faults import OperatorFaults
+from .restores import Restores
 from .store import OUTAGES
 
 CLOSE_TIMEOUT_S = 5.0
@@ -17,7 +18,7 @@
 REPORT_INTERVAL_S = 1.2
 
 
-class Faults(OperatorFaults, NoticeFaults):
+class Faults(OperatorFaults, NoticeFaults, Restores):
     """A mixin of Soak, whose state the faults change."""
 
     async def kill(self):
@@ -235,7 +236,7 @@
                  self.odd_entry, self.pipeline, self.hup_storm,
                  self.rewrite_settings, self.config_storm, self.stall_log,
                  self.close_log, self.stop_without_store, self.reshard,
-                 self.announce_leaving, self.turn_away]
+                 self.announce_leaving, self.turn_away, self.restore_store]
         return {each.__name__: each for each in kinds}
 
     async def faults(self):
--- a/tests/soak/searcher.py
+++ b/tests/soak/searcher.py
@@ -43,11 +43,13 @@
         self.writers = set()
         self.senders = {}  # connection -> instance
         self.born = 1700000000000 + port
-        self.sequence = 1
+        self.sequence = 0
         self.announces = False   # says in all its answers that it leaves
         self.retry_after = None  # turns requests away with this value
 
     def entry(self, state="ready", warmup_left_ms=0):
+        """Returns a report to the store; each has a later sequence."""
+        self.sequence += 1
         return {"service": self.service, "address": f"127.0.0.1:{self.port}",
                 "zone": self.zone, "version": "v1", "state": state,
                 "max_concurrency": self.max_concurrency,
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -1,4 +1,5 @@
-"""A stand-in for the platform's store: objects, revisions, watches, outages."""
+"""A stand-in for the platform's store: objects, revisions, watches, outages, and
+restores from a copy that lacks the latest writes."""
 
 import asyncio
 import json
@@ -7,6 +8,19 @@
 from .http_text import answer, read_message, reset
 
 OUTAGES = ["busy", "reset", "silent"]
+USERS, SYSTEM = "users", "system"  # who writes: those of the platform, or us
+
+
+class Write:
+    """One write that the store has acknowledged; without a spec, a deletion."""
+
+    def __init__(self, at_s, revision, writer, kind, name, spec):
+        self.at_s = at_s
+        self.revision = revision
+        self.writer = writer
+        self.kind = kind
+        self.name = name
+        self.spec = spec
 
 
 class Store:
@@ -22,15 +36,65 @@
         self.oldest_revision = 100
         self.texts = {}  # placeholder of a spec -> its JSON text
         self.control_ports = {}  # control port -> port of its relay
+        self.era = 1
+        self.writes = []
 
-    async def put(self, kind, name, spec):
+    async def put(self, kind, name, spec, writer=USERS):
         async with self.changed:
             self.revision += 1
-            entry = {"meta": {"name": name, "revision": self.revision},
-                     "spec": spec, "status": None}
-            self.objects[kind, name] = entry
+            self.writes.append(Write(asyncio.get_running_loop().time(),
+                                     self.revision, writer, kind, name, spec))
+            entry = self.apply(self.writes[-1])
             self.history.append((self.revision, kind, entry, False))
             self.changed.notify_all()
+            return self.writes[-1]
+
+    def apply(self, write):
+        """Applies a write to the objects and returns its object, if any."""
+        key = write.kind, write.name
+        if write.spec is None:
+            return self.objects.pop(key, None)
+        self.objects[key] = {
+            "meta": {"name": write.name, "revision": write.revision},
+            "spec": write.spec, "status": None}
+        return self.objects[key]
+
+    async def load_copy(self, age_s):
+        """Goes back to what was written until some seconds ago, in a new era.
+        Returns the writes that are lost."""
+        async with self.changed:
+            until_s = asyncio.get_running_loop().time() - age_s
+            lost = [each for each in self.writes if each.at_s > until_s]
+            self.writes = [each for each in self.writes
+                           if each.at_s <= until_s]
+            self.objects = {}
+            for each in self.writes:
+                self.apply(each)
+            self.revision = self.writes[-1].revision if self.writes else 100
+            self.oldest_revision = min(self.oldest_revision, self.revision)
+            self.history = [each for each in self.history
+                            if each[0] <= self.revision]
+            self.era += 1
+            self.changed.notify_all()
+        return lost
+
+    async def write_again(self, lost, seconds):
+        """Writes again what was not ours, in its order and over some time. What
+        has been written in the new era already is newer."""
+        era, first = self.era, len(self.writes)
+        theirs = [each for each in lost if each.writer == USERS]
+        again = []
+        for each in theirs:
+            await asyncio.sleep(seconds / len(theirs))
+            if self.era != era:
+                return
+            if any((newer.kind, newer.name) == (each.kind, each.name)
+                   and newer not in again for newer in self.writes[first:]):
+                continue
+            if each.spec is None:
+                again.append(await self.delete(each.kind, each.name))
+            else:
+                again.append(await self.put(each.kind, each.name, each.spec))
 
     async def put_text(self, kind, name, text):
         """Writes an object whose spec is any JSON text."""
@@ -44,14 +108,17 @@
             data = data.replace(placeholder, text)
         return data
 
-    async def delete(self, kind, name):
+    async def delete(self, kind, name, writer=USERS):
         async with self.changed:
-            entry = self.objects.pop((kind, name), None)
-            if entry is None:
-                return
+            if (kind, name) not in self.objects:
+                return None
             self.revision += 1
+            self.writes.append(Write(asyncio.get_running_loop().time(),
+                                     self.revision, writer, kind, name, None))
+            entry = self.apply(self.writes[-1])
             self.history.append((self.revision, kind, entry, True))
             self.changed.notify_all()
+            return self.writes[-1]
 
     def discard_history(self):
         self.history.clear()
@@ -74,9 +141,12 @@
         finally:
             writer.close()
 
+    def answer(self, status, body=b""):
+        return answer(status, body, [("Store-Era", self.era)])
+
     async def reply(self, message):
         if self.outage == "busy":
-            return answer(503)
+            return self.answer(503)
         if self.outage == "reset":
             return None
         if self.outage == "silent":
@@ -89,8 +159,8 @@
         if method == "POST":
             return await self.create(kind, json.loads(message.body))
         if method == "DELETE":
-            await self.delete(kind, names[2])
-            return answer(200, b"{}")
+            await self.delete(kind, names[2], SYSTEM)
+            return self.answer(200, b"{}")
         if "watch" in query:
             return await self.watch(kind, int(query["watch"]),
                                     int(query.get("wait_ms", 0)))
@@ -99,11 +169,11 @@
     async def create(self, kind, body):
         name = body["meta"]["name"]
         if (kind, name) in self.objects:
-            return answer(409, json.dumps(self.objects[kind, name]).encode())
+            return self.answer(409, json.dumps(self.objects[kind, name]).encode())
         if kind == "entries":
             self.relay_control(body["spec"])
-        await self.put(kind, name, body["spec"])
-        return answer(200, json.dumps(self.objects[kind, name]).encode())
+        await self.put(kind, name, body["spec"], SYSTEM)
+        return self.answer(200, json.dumps(self.objects[kind, name]).encode())
 
     def relay_control(self, entry):
         """Replaces the control port of an entry by the port of its relay, so
@@ -115,7 +185,7 @@
     def list(self, kind, after, page=7):
         names = sorted(n for k, n in self.objects if k == kind and n > after)
         items = [self.objects[kind, n] for n in names[:page]]
-        return answer(200, self.encode(
+        return self.answer(200, self.encode(
             {"items": items, "has_more": len(names) > page,
              "at": self.revision}))
 
@@ -127,8 +197,9 @@
     async def watch(self, kind, since, wait_ms):
         if kind in self.awaited_watches:
             self.awaited_watches.pop(kind).set()
-        if since < self.oldest_revision:
-            return answer(410, b"{}")
+        if not self.oldest_revision <= since <= self.revision:
+            return self.answer(410, b"{}")
+        era = self.era
 
         def events():
             return [{"deleted": gone, "object": entry}
@@ -137,14 +208,17 @@
 
         async with self.changed:
             try:
-                await asyncio.wait_for(self.changed.wait_for(events),
-                                       wait_ms / 1000)
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: self.era != era or events()),
+                    wait_ms / 1000)
             except asyncio.TimeoutError:
                 pass
+            if self.era != era:
+                return None  # the connection ends with the store's process
             body = {"events": events(), "at": self.revision}
         lost = body["events"] and self.losing_kind == kind
         if lost:
             self.losing_kind = None
         if lost or self.outage == "silent":
             await asyncio.sleep(3600)
-        return answer(200, self.encode(body))
+        return self.answer(200, self.encode(body))
