--- a/tests/unit/restored_store_test.cc
+++ b/tests/unit/restored_store_test.cc
@@ -173,6 +173,28 @@
   CHECK(store.ListCount("evacuations") == lists + 1);
 }
 
+// Guards against an instance that starts and gets the state before a restore
+// from one that was cut off.
+TEST_CASE("the state of an earlier era is not taken from another instance",
+          "[mirror][era]") {
+  loop_context loop;
+  store_standin store(loop);
+  const auto copy = store.Copy();
+  store.Put("servers", "i-1", json::object());
+  const mirrored_instance source(loop, store.Address(), "entry-1", false);
+  REQUIRE(RunUntil(loop, [&] { return source.mirror->Complete(); }));
+  store.SetDown(true);
+  mirrored_instance fresh(loop, store.Address(), "entry-2", false,
+                          {source.SeedText()});
+  fresh.era.Observe(2);
+  RunFor(loop, milliseconds(500));
+  CHECK_FALSE(fresh.mirror->Complete());
+  store.Restore(copy);
+  store.SetDown(false);
+  REQUIRE(RunUntil(loop, [&] { return fresh.mirror->Complete(); }));
+  CHECK(fresh.upstreams.empty());
+}
+
 TEST_CASE("two restores within a second leave no instance behind",
           "[mirror][era]") {
   loop_context loop;
