--- a/src/app/mirror_sources.cc
+++ b/src/app/mirror_sources.cc
@@ -34,7 +34,7 @@
 
 std::string mirror_sources::Remove(instance_links::id link,
                                    const std::string& why) {
-  const std::string name = NameOf(link);
+  std::string name = NameOf(link);
   if (name.empty()) return name;
   sources_.erase(link);
   log_.Write(structured_log::kind::kEvent,
