--- a/tests/soak/restores.py
+++ b/tests/soak/restores.py
@@ -22,16 +22,15 @@
             return
         self.store.outage = self.random.choice(OUTAGES)
         await asyncio.sleep(self.random.uniform(.1, MAX_AWAY_S))
-        lost = await self.store.load_copy(
-            self.random.uniform(.5, MAX_COPY_AGE_S))
+        await self.store.load_copy(self.random.uniform(.5, MAX_COPY_AGE_S))
         rewrite_s = self.random.choice(
             [0, self.random.uniform(.1, MAX_REWRITE_S)])
         if rewrite_s == 0:
-            await self.store.write_again(lost, 0)
+            await self.store.write_again(0)
         self.store.outage = None
         self.store_available_since = self.now()
         if rewrite_s > 0:
-            await self.store.write_again(lost, rewrite_s)
+            await self.store.write_again(rewrite_s)
             self.store_available_since = self.now()
         await self.check_entered(self.store.era)
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -14,10 +14,9 @@
 class Write:
     """One write that the store has acknowledged; without a spec, a deletion."""
 
-    def __init__(self, at_s, revision, writer, kind, name, spec):
+    def __init__(self, at_s, revision, kind, name, spec):
         self.at_s = at_s
         self.revision = revision
-        self.writer = writer
         self.kind = kind
         self.name = name
         self.spec = spec
@@ -38,16 +37,22 @@
         self.control_ports = {}  # control port -> port of its relay
         self.era = 1
         self.writes = []
+        self.theirs = {}  # what the users have written last, None if deleted
 
     async def put(self, kind, name, spec, writer=USERS):
         async with self.changed:
             self.revision += 1
-            self.writes.append(Write(asyncio.get_running_loop().time(),
-                                     self.revision, writer, kind, name, spec))
-            entry = self.apply(self.writes[-1])
+            entry = self.apply(self.record(writer, kind, name, spec))
             self.history.append((self.revision, kind, entry, False))
             self.changed.notify_all()
-            return self.writes[-1]
+
+    def record(self, writer, kind, name, spec):
+        now = asyncio.get_running_loop().time()
+        self.writes.append(Write(now, self.revision, kind, name, spec))
+        if writer == USERS:
+            self.theirs.pop((kind, name), None)  # the last is the latest
+            self.theirs[kind, name] = spec
+        return self.writes[-1]
 
     def apply(self, write):
         """Applies a write to the objects and returns its object, if any."""
@@ -60,11 +65,9 @@
         return self.objects[key]
 
     async def load_copy(self, age_s):
-        """Goes back to what was written until some seconds ago, in a new era.
-        Returns the writes that are lost."""
+        """Goes back to what was written until some seconds ago, in a new era."""
         async with self.changed:
             until_s = asyncio.get_running_loop().time() - age_s
-            lost = [each for each in self.writes if each.at_s > until_s]
             self.writes = [each for each in self.writes
                            if each.at_s <= until_s]
             self.objects = {}
@@ -76,25 +79,28 @@
                             if each[0] <= self.revision]
             self.era += 1
             self.changed.notify_all()
-        return lost
-
-    async def write_again(self, lost, seconds):
-        """Writes again what was not ours, in its order and over some time. What
-        has been written in the new era already is newer."""
-        era, first = self.era, len(self.writes)
-        theirs = [each for each in lost if each.writer == USERS]
-        again = []
-        for each in theirs:
-            await asyncio.sleep(seconds / len(theirs))
+
+    def lacks(self, key):
+        """Whether the object is not as the users have written it last."""
+        known = self.objects.get(key)
+        return (known and known["spec"]) != self.theirs[key]
+
+    async def write_again(self, seconds):
+        """Writes again what the users have written and the store has lost, over
+        some time. If the store is restored meanwhile, the rest is left to the
+        call that follows."""
+        era = self.era
+        lost = [key for key in self.theirs if self.lacks(key)]
+        for key in lost:
+            await asyncio.sleep(seconds / len(lost))
             if self.era != era:
                 return
-            if any((newer.kind, newer.name) == (each.kind, each.name)
-                   and newer not in again for newer in self.writes[first:]):
+            if not self.lacks(key):
                 continue
-            if each.spec is None:
-                again.append(await self.delete(each.kind, each.name))
+            if self.theirs[key] is None:
+                await self.delete(*key)
             else:
-                again.append(await self.put(each.kind, each.name, each.spec))
+                await self.put(*key, self.theirs[key])
 
     async def put_text(self, kind, name, text):
         """Writes an object whose spec is any JSON text."""
@@ -110,15 +116,14 @@
 
     async def delete(self, kind, name, writer=USERS):
         async with self.changed:
+            if writer == USERS:
+                self.theirs[kind, name] = None
             if (kind, name) not in self.objects:
-                return None
+                return
             self.revision += 1
-            self.writes.append(Write(asyncio.get_running_loop().time(),
-                                     self.revision, writer, kind, name, None))
-            entry = self.apply(self.writes[-1])
+            entry = self.apply(self.record(writer, kind, name, None))
             self.history.append((self.revision, kind, entry, True))
             self.changed.notify_all()
-            return self.writes[-1]
 
     def discard_history(self):
         self.history.clear()
