--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -72,7 +72,9 @@
 # Guards against configurations that come late because one watch went silent.
 soak_runs+=("--only silent_watch --seed 2 --seconds 6")
 # Guards against single ways in which a stop, or a shortage, ends a request without its answer (issue 23).
-soak_runs+=("--only stop_cases")
+# The case that is left out is listed in KNOWN-RED.txt, so it runs by itself.
+soak_runs+=("--only stop_cases --without endless_body_on_a_small_machine")
+soak_runs+=("--only stop_cases --case endless_body_on_a_small_machine")
 # Guards against requests to upstreams that have said, in their answers, that they leave or want a pause.
 soak_runs+=("--only announce_leaving --seed 3 --seconds 8")
 soak_runs+=("--only turn_away --seed 2 --seconds 6")
