--- a/tests/unit/mirror_followers_test.cc
+++ b/tests/unit/mirror_followers_test.cc
@@ -186,6 +186,8 @@
     source.followers.SendMissed(link, MakePage(++revision, kPageBytes),
                                 kPageBytes);
   };
+  // A link that still holds a page after this time does not only write slowly.
+  constexpr milliseconds kWriteTime{100};
   // Each link but the last is filled until it holds a page.
   const auto last = source.open.back();
   const auto has_room = [&](instance_links::id link) {
@@ -196,7 +198,7 @@
       if (has_room(link)) send(link);
     }
     CHECK(source.followers.UnsentPageBytes() <= kMinRoomBytes);
-    source.Run(milliseconds(5));
+    source.Run(kWriteTime);
   }
   send(last);
   CHECK(source.links.UnsentBytes(last) == 0);
