Log the state behind a request, and the state that is not used

Lines about requests now have the position, the source and the age of the copy of the configuration, and the configuration that was received and is not in force. State that arrives and is not used is counted and logged by reason, and a copy that is not confirmed within its bound has a line. Lines that are left out are counted by kind.

No decision changes. An answer above the limit has a reason of its own (kTooLarge in place of kBroken), which callers treat alike.

--- a/src/app/active_request.cc
+++ b/src/app/active_request.cc
@@ -393,27 +393,26 @@
                                             static_cast<double>(account.legs);
   service_.metrics_.Record(sample);
   const bool is_complete = text.served && account.answered == account.legs;
-  service_.log_.Write(
-      is_complete ? structured_log::kind::kSuccess
-                  : structured_log::kind::kFailure,
-      log_line("request")
-          .With("request", request_->id)
-          .With("route", run_.Route().name)
-          .With("outcome", text.outcome)
-          .With("cause", text.cause)
-          .With("us", elapsed.count())
-          .With("legs", static_cast<std::int64_t>(account.legs))
-          .With("answered", static_cast<std::int64_t>(account.answered))
-          .With("attempts", static_cast<std::int64_t>(account.attempts))
-          .With("handed_over", static_cast<std::int64_t>(relayed_count_))
-          .With("hedges", static_cast<std::int64_t>(account.hedges))
-          .With("retries", static_cast<std::int64_t>(account.retries))
-          .With("denied", static_cast<std::int64_t>(account.denied_repeats))
-          .With("alone",
-                static_cast<std::int64_t>(account.repeats_without_upstream))
-          .With("unsent", static_cast<std::int64_t>(account.unsent_legs))
-          .With("configuration", configuration_->version)
-          .With("state_age_ms", service_.StateAge()));
+  log_line line("request");
+  line.With("request", request_->id)
+      .With("route", run_.Route().name)
+      .With("outcome", text.outcome)
+      .With("cause", text.cause)
+      .With("us", elapsed.count())
+      .With("legs", static_cast<std::int64_t>(account.legs))
+      .With("answered", static_cast<std::int64_t>(account.answered))
+      .With("attempts", static_cast<std::int64_t>(account.attempts))
+      .With("handed_over", static_cast<std::int64_t>(relayed_count_))
+      .With("hedges", static_cast<std::int64_t>(account.hedges))
+      .With("retries", static_cast<std::int64_t>(account.retries))
+      .With("denied", static_cast<std::int64_t>(account.denied_repeats))
+      .With("alone",
+            static_cast<std::int64_t>(account.repeats_without_upstream))
+      .With("unsent", static_cast<std::int64_t>(account.unsent_legs));
+  service_.AddState(line, configuration_->version);
+  service_.log_.Write(is_complete ? structured_log::kind::kSuccess
+                                  : structured_log::kind::kFailure,
+                      line);
 }
 
 }  // namespace papayaglade
--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -114,10 +114,7 @@
         [this](const upstream_record& upstream, const upstream_notice& notice) {
           LogNotice(upstream, notice);
         });
-    service_.SetStateAge([this] {
-      return std::chrono::duration_cast<milliseconds>(loop_context::Now() -
-                                                      mirror_.LastAnswer());
-    });
+    service_.SetStateStatus([this] { return StateStatus(); });
     service_.SetRelays(&relay_client_);
     era_.Subscribe([this](std::int64_t before, std::int64_t /*now*/) {
       if (before != kNoEra) applier_.OnNewEra(loop_context::Now());
@@ -148,6 +145,13 @@
            "; set an address of this machine and a free port in /" + port;
   }
 
+  state_status StateStatus() const {
+    return {std::chrono::duration_cast<milliseconds>(loop_context::Now() -
+                                                     mirror_.LastAnswer()),
+            mirror_.StatusOf(stored_kind::kConfiguration),
+            applier_.Unapplied()};
+  }
+
   bool Ready() const {
     return !stop_.has_value() && !diverting_ && service_.IsConfigured() &&
            mirror_.Complete();
@@ -194,6 +198,7 @@
     text += "papayaglade_store_calls_total " +
             std::to_string(mirror_.StoreCallCount()) + "\n";
     text += StoreEraMetrics();
+    text += CopyMetrics();
     text += "papayaglade_unreadable_entries_total " +
             std::to_string(applier_.UnreadableCount() +
                            mirror_.UnnamedEntryCount()) +
@@ -221,6 +226,24 @@
     return text;
   }
 
+  std::string CopyMetrics() const {
+    std::string text = "papayaglade_configuration_version " +
+                       std::to_string(applier_.Version()) + "\n" +
+                       "papayaglade_configuration_unapplied " +
+                       (*applier_.Unapplied().why == '\0' ? "0" : "1") + "\n";
+    for (const stored_kind each : kMirroredKinds) {
+      const copy_status copy = mirror_.StatusOf(each);
+      const std::string kind =
+          std::string("{kind=\"") + StoredKindName(each) + "\"} ";
+      text += "papayaglade_copy_revision" + kind +
+              std::to_string(copy.at.revision) + "\n";
+      if (!copy.confirmed_age.has_value()) continue;
+      text += "papayaglade_copy_age_ms" + kind +
+              std::to_string(copy.confirmed_age->count()) + "\n";
+    }
+    return text + mirror_.Unused().Format();
+  }
+
   void LogNotice(const upstream_record& upstream,
                  const upstream_notice& notice) {
     log_line line("upstream_notice");
--- a/src/app/entry_service.cc
+++ b/src/app/entry_service.cc
@@ -11,6 +11,9 @@
 
 using std::chrono::milliseconds;
 
+// Logged where the copy of the store was never confirmed.
+constexpr milliseconds kUnknownAge{-1};
+
 // Tells of a request that is taken while the instance stops.
 log_line TakenLine(const owed_answer& owed, milliseconds allowed) {
   return log_line("taken_while_stopping")
@@ -117,10 +120,7 @@
   log_line line("refused");
   line.With("request", request.id).With("cause", RefusalName(answer.cause));
   if (!request.route.empty()) line.With("route", request.route);
-  if (routes_.has_value()) {
-    line.With("configuration", routes_->Configuration()->version);
-    line.With("state_age_ms", StateAge());
-  }
+  if (routes_.has_value()) AddState(line, routes_->Configuration()->version);
   log_.Write(structured_log::kind::kFailure, line);
   const bool keep =
       request.keep_alive && (!stop_.has_value() || to->HasReceivedMore());
@@ -223,8 +223,18 @@
          demand_.IsMostlyUnservable(*routes_->Configuration(), directory_, now);
 }
 
-std::int64_t entry_service::StateAge() const {
-  return state_age_ ? state_age_().count() : -1;
+void entry_service::AddState(log_line& line, std::int64_t version) const {
+  const state_status known = state_status_ ? state_status_() : state_status();
+  const copy_status& copy = known.configuration;
+  line.With("configuration", version)
+      .With("state_age_ms", known.answer_age.count())
+      .With("copy_age_ms", copy.confirmed_age.value_or(kUnknownAge).count())
+      .With("copy_era", copy.at.era)
+      .With("copy_revision", copy.at.revision)
+      .With("copy_from", copy.source.empty() ? "store" : copy.source);
+  if (*known.unapplied.why == '\0') return;
+  line.With("unapplied", known.unapplied.why)
+      .With("unapplied_version", known.unapplied.version);
 }
 
 void entry_service::Remove(active_request* finished) {
--- a/src/app/entry_service.h
+++ b/src/app/entry_service.h
@@ -18,6 +18,7 @@
 #include "coordination/route_durations.h"
 #include "coordination/route_table.h"
 #include "coordination/shutdown_plan.h"
+#include "state/copy_status.h"
 #include "transport/caller_port.h"
 #include "transport/upstream_client.h"
 
@@ -51,9 +52,10 @@
   /// without it, this instance asks all upstreams itself. It must outlive the
   /// service.
   void SetRelays(relay_client* relays) { relays_ = relays; }
-  /// Sets the function that returns the age of the local copy of the store.
-  void SetStateAge(std::function<std::chrono::milliseconds()> age) {
-    state_age_ = std::move(age);
+  /// Sets the function that returns what is known of the state that requests go
+  /// by.
+  void SetStateStatus(std::function<state_status()> status) {
+    state_status_ = std::move(status);
   }
   /// Closes the connection after each refused answer while diverting, so that
   /// the caller retries at another instance.
@@ -105,9 +107,8 @@
   /// Returns the facts that do not depend on the progress of a request.
   owed_answer Owed(const std::string& id, const std::string& route,
                    monotonic_time arrival) const;
-  /// Returns the age of the local copy of the store in milliseconds, or -1 if
-  /// it is unknown.
-  std::int64_t StateAge() const;
+  /// Adds the version that a request goes by, and the state behind it.
+  void AddState(log_line& line, std::int64_t version) const;
 
   loop_context& loop_;
   const entry_wire_format& wire_;
@@ -120,7 +121,7 @@
   std::optional<route_table> routes_;
   std::set<std::shared_ptr<active_request>> active_;
   route_demand demand_;
-  std::function<std::chrono::milliseconds()> state_age_;
+  std::function<state_status()> state_status_;
   std::optional<shutdown_plan> stop_;  ///< Empty until the stop begins.
   route_durations durations_;
   std::size_t unanswered_ = 0;
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -102,12 +102,17 @@
 
 void store_feed::OnResult(const feed_plan::call& completed,
                           const http_exchange_channel::result& result) {
-  if (result.failure.has_value())
+  if (result.failure.has_value()) {
+    if (result.failure == channel_failure::kTooLarge)
+      ReportUnused(unused_reason::kTooLarge);
     return HandleFailure(result.why, OriginOfSilence());
+  }
   EndCall();
   const era_relation era = era_.Observe(format_.DecodeEra(result.message));
-  if (era == era_relation::kOlder)
+  if (era == era_relation::kOlder) {
+    ReportUnused(unused_reason::kOlderEra);
     return HandleFailure("an older era", failure_origin::kUnclear);
+  }
   OnAnswer(completed, result.message);
 }
 
@@ -120,12 +125,14 @@
   // What continues from a position of another era does not belong to it.
   const bool continues = !completed.is_list || !completed.after_name.empty();
   if (continues && completed.position.era != era_.Known()) {
+    ReportUnused(unused_reason::kOtherEra);
     RecordAnswer();
     return ScheduleCall(milliseconds(0));
   }
   if (!completed.is_list) return OnEvents(completed, answer.body());
   if (plan_.IsListing()) return OnList(answer.body());
   // The state came from another source while the list was pending.
+  ReportUnused(unused_reason::kSuperseded);
   RecordAnswer();
   ScheduleCall(milliseconds(0));
 }
@@ -143,8 +150,10 @@
 
 void store_feed::OnList(const std::string& body) {
   auto page = format_.DecodeList(kind_, body);
-  if (!page.has_value())
+  if (!page.has_value()) {
+    ReportUnused(unused_reason::kUnreadable);
     return HandleFailure("unreadable list", failure_origin::kUnclear);
+  }
   page->position.era = era_.Known();
   RecordAnswer();
   if (listed_objects_.empty()) list_start_ = call_start_;
@@ -165,8 +174,10 @@
 void store_feed::OnEvents(const feed_plan::call& completed,
                           const std::string& body) {
   auto page = format_.DecodeEvents(kind_, body);
-  if (!page.has_value())
+  if (!page.has_value()) {
+    ReportUnused(unused_reason::kUnreadable);
     return HandleFailure("unreadable events", failure_origin::kUnclear);
+  }
   page->position.era = era_.Known();
   const answer_time time = TimeOf(completed);
   RecordAnswer();
@@ -205,6 +216,10 @@
                  .With("remedy", "remove the entries from the store"));
 }
 
+void store_feed::ReportUnused(unused_reason why) const {
+  if (handlers_.on_unused) handlers_.on_unused(why, plan_.Position());
+}
+
 void store_feed::HandleFailure(const char* why, failure_origin origin) {
   EndCall();
   channel_->Close();
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "app/structured_log.h"
+#include "app/unused_answers.h"
 #include "coordination/feed_plan.h"
 #include "coordination/store_era.h"
 #include "protocol/store_format.h"
@@ -43,6 +44,9 @@
     /// Called when the store does not serve a call on a new connection; may be
     /// empty. An open connection may also fail for a reason of its own.
     std::function<void()> on_unavailable;
+    /// Called when an answer up to `arrived` is not used; may be empty.
+    std::function<void(unused_reason why, const store_position& arrived)>
+        on_unused;
   };
 
   /// `wait` is how long the store may hold a watch that has no changes.
@@ -106,6 +110,8 @@
   /// Returns the origin of a call's end without an answer.
   failure_origin OriginOfSilence() const;
   void HandleFailure(const char* why, failure_origin origin);
+  /// Reports an answer that is not used.
+  void ReportUnused(unused_reason why) const;
   answer_time TimeOf(const feed_plan::call& completed) const;
   void ScheduleCall(std::chrono::milliseconds delay);
   /// Notes that no call is pending any more.
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -1,9 +1,9 @@
 #include "app/store_mirror.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
+#include "app/mirror_log_lines.h"
 #include "coordination/watch_wait.h"
 #include "protocol/entry_settings_codec.h"
 #include "protocol/mirror_codec.h"
@@ -32,30 +32,6 @@
   return static_cast<std::size_t>(found - kMirroredKinds.begin());
 }
 
-// Returns each object of the page once, in the order of the last changes. The
-// store returns all states of an object since the last watch.
-std::vector<const stored_object*> LatestStates(const store_page& page) {
-  std::set<std::string> names;
-  std::vector<const stored_object*> latest;
-  for (auto each = page.objects.rbegin(); each != page.objects.rend(); ++each) {
-    if (names.insert(each->name).second) latest.push_back(&*each);
-  }
-  std::reverse(latest.begin(), latest.end());
-  return latest;
-}
-
-const char* SourceStateName(source_state state) {
-  switch (state) {
-    case source_state::kFollowing:
-      return "following";
-    case source_state::kWatching:
-      return "watching";
-    case source_state::kLost:
-      return "store_lost";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 store_mirror::store_mirror(loop_context& loop, const store_format& format,
@@ -74,9 +50,11 @@
       selector_({settings.name, settings.data_centre, settings.control,
                  settings.cores},
                 sharing),
+      unused_(log),
       kinds_{{MakeKind(0, format, settings, sharing),
               MakeKind(1, format, settings, sharing),
               MakeKind(2, format, settings, sharing)}},
+      confirmations_(log, settings.delays),
       sources_(log, links),
       followers_(log, links) {
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
@@ -96,10 +74,11 @@
     std::size_t kind, const store_format& format,
     const entry_settings& settings, bool sharing) {
   const stored_kind stored = kMirroredKinds[kind];
-  return {object_mirror(stored),
-          store_feed(loop_, format, log_, era_, settings.store, stored,
-                     WatchWait(stored, settings.delays, sharing),
-                     HandlersOf(kind))};
+  return {
+      object_mirror(stored),
+      store_feed(loop_, format, log_, era_, settings.store, stored,
+                 WatchWait(stored, settings.delays, sharing), HandlersOf(kind)),
+      ""};
 }
 
 store_feed::handlers store_mirror::HandlersOf(std::size_t kind) {
@@ -115,6 +94,10 @@
   };
   result.on_unavailable = [this] { OnStoreUnavailable(); };
   result.on_lost = [this] { OnStoreLost(); };
+  result.on_unused = [this, kind](unused_reason why,
+                                  const store_position& arrived) {
+    unused_.Add(kMirroredKinds[kind], why, kinds_[kind].objects.At(), arrived);
+  };
   result.on_answer = [this, kind] {
     last_answer_ = loop_context::Now();
     if (kind == kLivenessKind) ResumeFeeds();
@@ -179,25 +162,44 @@
   mirrored.content = content;
   mirrored.from = from;
   mirrored.to = page.position;
-  for (const stored_object* each : LatestStates(page))
-    mirrored.objects.push_back(ToMirroredObject(*each));
+  mirrored.objects = LatestObjects(page);
   if (time.was_held) Confirm(kind, time.confirmed_at);
   mirrored.confirmed_age = ConfirmedAge(kind);
-  ApplyPage(kind, std::move(mirrored));
+  ApplyPage(kind, std::move(mirrored), "");
   if (kinds_[kind].objects.At() >= page.position)
     Confirm(kind, time.confirmed_at);
 }
 
 void store_mirror::Confirm(std::size_t kind, monotonic_time time) {
-  if (kind != kUpstreamsKind || upstreams_confirmed_at_ >= time) return;
-  upstreams_confirmed_at_ = time;
+  if (!confirmations_.Confirm(kMirroredKinds[kind], time)) return;
+  if (kind != kUpstreamsKind) return;
   store_unavailable_ = false;
   if (handlers_.on_upstreams_confirmed) handlers_.on_upstreams_confirmed(time);
 }
 
 std::optional<milliseconds> store_mirror::ConfirmedAge(std::size_t kind) const {
   if (kind != kUpstreamsKind) return std::nullopt;
-  return AgeOf(upstreams_confirmed_at_, loop_context::Now());
+  return confirmations_.Age(kMirroredKinds[kind]);
+}
+
+void store_mirror::CheckConfirmations() {
+  const bool answering = IsStoreAnswering(loop_context::Now());
+  for (const stored_kind each : kMirroredKinds)
+    confirmations_.Check(each, StatusOf(each), answering);
+}
+
+copy_status store_mirror::StatusOf(stored_kind kind) const {
+  const mirrored_kind& own = kinds_.at(IndexOf(kind));
+  return {own.objects.At(), confirmations_.Age(kind), own.source};
+}
+
+// A page up to the position of the copy has brought nothing new.
+void store_mirror::NoteUnused(std::size_t kind, const mirror_page& page) {
+  const store_position& copy = kinds_[kind].objects.At();
+  if (page.to == copy) return;
+  unused_.Add(kMirroredKinds[kind],
+              page.to < copy ? unused_reason::kBehind : unused_reason::kGap,
+              copy, page.to);
 }
 
 void store_mirror::OnStoreUnavailable() {
@@ -206,14 +208,23 @@
     handlers_.on_store_unavailable(loop_context::Now());
 }
 
-bool store_mirror::ApplyPage(std::size_t kind, mirror_page page) {
+bool store_mirror::ApplyPage(std::size_t kind, mirror_page page,
+                             const std::string& source) {
   mirrored_kind& own = kinds_[kind];
   const bool complete = own.objects.IsComplete();
   const mirror_position before = own.objects.Position();
   const auto changes = own.objects.Apply(page);
-  if (!changes.has_value()) return false;
-  if (complete && before.at.era != page.to.era)
-    LogEra(kind, before.at, *changes);
+  if (!changes.has_value()) {
+    NoteUnused(kind, page);
+    return false;
+  }
+  own.source = source;
+  if (complete && before.at.era != page.to.era) {
+    log_.Write(structured_log::kind::kEvent,
+               EraReadLine(page.kind, before.at, page.to, *changes,
+                           std::chrono::duration_cast<milliseconds>(
+                               loop_context::Now() - era_start_)));
+  }
   if (complete && page.confirmed_age.has_value())
     Confirm(kind, loop_context::Now() - *page.confirmed_age);
   page.confirmed_age = ConfirmedAge(kind);
@@ -240,27 +251,6 @@
   return true;
 }
 
-void store_mirror::LogEra(std::size_t kind, const store_position& before,
-                          const std::vector<mirrored_object>& changes) {
-  const auto missing =
-      std::count_if(changes.begin(), changes.end(),
-                    [](const mirrored_object& each) { return each.deleted; });
-  const store_position& now = kinds_[kind].objects.At();
-  log_.Write(
-      structured_log::kind::kEvent,
-      log_line("store_era_read")
-          .With("kind", StoredKindName(kMirroredKinds[kind]))
-          .With("era", now.era)
-          .With("revision", now.revision)
-          .With("era_before", before.era)
-          .With("revision_before", before.revision)
-          .With("missing", static_cast<std::int64_t>(missing))
-          .With("changed", static_cast<std::int64_t>(changes.size()) - missing)
-          .With("ms", std::chrono::duration_cast<milliseconds>(
-                          loop_context::Now() - era_start_)
-                          .count()));
-}
-
 // Entries of upstreams that go on serving may be missing in the copy from which
 // the store was restored, as after an outage.
 void store_mirror::OnNewEra(std::int64_t before, std::int64_t era) {
@@ -322,6 +312,7 @@
   sources_.SubscribeAgain(MakeSubscription(), now);
   UpdateSources(now);
   ReportState();
+  CheckConfirmations();
 }
 
 void store_mirror::UpdateSources(monotonic_time now) {
@@ -349,12 +340,8 @@
 void store_mirror::ReportState() {
   const source_state state = State(loop_context::Now());
   if (state != reported_state_) {
-    log_.Write(
-        structured_log::kind::kEvent,
-        log_line("mirror_state")
-            .With("state", SourceStateName(state))
-            .With("before", SourceStateName(reported_state_))
-            .With("followers", static_cast<std::int64_t>(followers_.Size())));
+    log_.Write(structured_log::kind::kEvent,
+               MirrorStateLine(state, reported_state_, followers_.Size()));
   }
   reported_state_ = state;
   followers_.Send(MakeReport(state));
@@ -416,16 +403,20 @@
 }
 
 void store_mirror::Receive(instance_links::id link, mirror_page page) {
-  if (sources_.NameOf(link).empty()) return;
+  const std::string source = sources_.NameOf(link);
+  if (source.empty()) return;
   const std::size_t kind = IndexOf(page.kind);
   if (kind == kinds_.size()) return;
   const auto position = CurrentPosition(kind, page.to);
-  if (!position.has_value()) return;
+  if (!position.has_value()) {
+    return unused_.Add(page.kind, unused_reason::kOlderEra,
+                       kinds_[kind].objects.At(), page.to);
+  }
   era_.Observe(position->era);
   page.to = *position;
   page.from.era = position->era;
   const bool newer = page.to > kinds_[kind].objects.At();
-  const bool applied = ApplyPage(kind, std::move(page));
+  const bool applied = ApplyPage(kind, std::move(page), source);
   if (!applied && newer) sources_.AskForMissed(link, MakeSubscription());
 }
 
@@ -459,11 +450,19 @@
   // The answer to the first subscription may have been deferred.
   if (!own.objects.IsComplete()) return position.at.revision > 0;
   own.feed.SkipTo(own.objects.At());
-  if (has_changes && report.upstreams_confirmed_age.has_value())
-    Confirm(kind, now - *report.upstreams_confirmed_age);
+  if (has_changes) ConfirmAs(kind, report, now);
   return !has_changes;
 }
 
+void store_mirror::ConfirmAs(std::size_t kind, const source_report& report,
+                             monotonic_time now) {
+  if (kind != kUpstreamsKind) {
+    if (report.state == source_state::kWatching) Confirm(kind, now);
+  } else if (report.upstreams_confirmed_age.has_value()) {
+    Confirm(kind, now - *report.upstreams_confirmed_age);
+  }
+}
+
 void store_mirror::Receive(instance_links::id link,
                            const fleet_report& report) {
   if (sources_.NameOf(link).empty() || report.members.empty()) return;
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -9,12 +9,15 @@
 #include <string>
 #include <vector>
 
+#include "app/copy_confirmations.h"
 #include "app/mirror_followers.h"
 #include "app/mirror_sources.h"
 #include "app/store_feed.h"
 #include "app/structured_log.h"
+#include "app/unused_answers.h"
 #include "coordination/object_mirror.h"
 #include "coordination/source_selector.h"
+#include "state/copy_status.h"
 #include "state/entry_settings.h"
 #include "transport/instance_links.h"
 
@@ -61,6 +64,10 @@
   /// Returns when the store last answered this instance or an instance that it
   /// follows.
   monotonic_time LastAnswer() const { return last_answer_; }
+  /// Returns what is known of the copy of one kind.
+  copy_status StatusOf(stored_kind kind) const;
+  /// Returns the state that arrived and was not used.
+  const unused_answers& Unused() const { return unused_; }
   std::uint64_t StoreCallCount() const;
   /// Returns the number of the store's entries without a usable name.
   std::uint64_t UnnamedEntryCount() const;
@@ -70,6 +77,8 @@
   struct mirrored_kind {
     object_mirror objects;
     store_feed feed;
+    /// The instance from which the latest page came; empty if it was the store.
+    std::string source;
   };
   mirrored_kind MakeKind(std::size_t kind, const store_format& format,
                          const entry_settings& settings, bool sharing);
@@ -78,19 +87,20 @@
   void OnStorePage(std::size_t kind, page_content content,
                    const store_position& from, const store_page& page,
                    const store_feed::answer_time& time);
-  /// Notes that the copy of one kind was that of the store at `time`, which is
-  /// of use for the upstreams only.
+  /// Notes that the copy of one kind was that of the store at `time`.
   void Confirm(std::size_t kind, monotonic_time time);
-  /// Returns how long ago that was, or nothing if it is unknown or of no use.
+  /// Returns how long ago that was, or nothing if it is unknown or of no use to
+  /// followers.
   std::optional<std::chrono::milliseconds> ConfirmedAge(std::size_t kind) const;
+  /// Logs copies whose confirmation is overdue, or no longer.
+  void CheckConfirmations();
+  /// Notes a page of the store, or of another instance, that was not used.
+  void NoteUnused(std::size_t kind, const mirror_page& page);
   void OnStoreUnavailable();
-  /// Applies a page to the copy of one kind and forwards it to the followers.
-  /// Returns whether the page was applicable and newer than the copy.
-  bool ApplyPage(std::size_t kind, mirror_page page);
-  /// Logs that the copy of one kind has come from a position in an earlier era
-  /// by these changes.
-  void LogEra(std::size_t kind, const store_position& before,
-              const std::vector<mirrored_object>& changes);
+  /// Applies a page of `source`, the store if empty, to the copy of one kind
+  /// and forwards it to the followers. Returns whether the page was applicable
+  /// and newer than the copy.
+  bool ApplyPage(std::size_t kind, mirror_page page, const std::string& source);
   /// Lists again what was read of the store before it was restored.
   void OnNewEra(std::int64_t before, std::int64_t era);
   /// Handles an era that another instance knows, but whose state it may not
@@ -131,6 +141,9 @@
   /// lacks changes.
   bool CompareWith(const mirror_position& position, const source_report& report,
                    monotonic_time now);
+  /// Notes that the copy of one kind equals that of the source that reports.
+  void ConfirmAs(std::size_t kind, const source_report& report,
+                 monotonic_time now);
   void Receive(instance_links::id link, const fleet_report& report);
   /// Returns the request for all that is newer than the copy.
   mirror_subscription MakeSubscription() const;
@@ -147,7 +160,9 @@
   handlers handlers_;
   instance_links& links_;
   source_selector selector_;
+  unused_answers unused_;
   std::array<mirrored_kind, kMirroredKinds.size()> kinds_;
+  copy_confirmations confirmations_;
   std::vector<fleet_member> members_;
   mirror_sources sources_;
   mirror_followers followers_;
@@ -158,9 +173,6 @@
   bool serving_ = true;
   monotonic_time watching_since_;
   monotonic_time last_answer_;
-  /// The latest time at which the copy of the upstreams was known to be that of
-  /// the store.
-  std::optional<monotonic_time> upstreams_confirmed_at_;
   /// The store has been found unavailable since the upstreams were confirmed.
   bool store_unavailable_ = false;
   /// When the known era was first noticed.
--- a/src/app/store_object_applier.cc
+++ b/src/app/store_object_applier.cc
@@ -50,6 +50,7 @@
     auto decoded = format_.DecodeConfiguration(each, faults);
     if (!decoded.has_value()) {
       ++unreadable_;
+      unapplied_ = {"unreadable"};
       log_.Write(structured_log::kind::kEvent,
                  log_line("configuration_refused")
                      .With("at", faults.front().pointer)
@@ -64,11 +65,13 @@
 
 void store_object_applier::Apply(tier_configuration configuration) {
   if (configuration.version < version_) {
+    unapplied_ = {"outdated", configuration.version};
     return log_.Write(structured_log::kind::kEvent,
                       log_line("configuration_outdated")
                           .With("version", configuration.version)
                           .With("kept", version_));
   }
+  unapplied_ = {};
   if (configuration.version == version_) return;
   log_.Write(
       structured_log::kind::kEvent,
--- a/src/app/store_object_applier.h
+++ b/src/app/store_object_applier.h
@@ -12,6 +12,7 @@
 #include "app/structured_log.h"
 #include "coordination/upstream_directory.h"
 #include "protocol/store_format.h"
+#include "state/copy_status.h"
 
 namespace papayaglade {
 
@@ -37,6 +38,10 @@
   /// Returns the number of changes that could not be read as a configuration or
   /// an upstream.
   std::uint64_t UnreadableCount() const { return unreadable_; }
+  /// Returns the configuration that was received last, if it is not in force.
+  const unapplied_configuration& Unapplied() const { return unapplied_; }
+  /// Returns the version in force, -1 before the first.
+  std::int64_t Version() const { return version_; }
 
  private:
   enum class upstream_change {
@@ -72,6 +77,7 @@
   std::size_t unreadable_lines_ = 0;
   /// Version of the configuration in force; -1 before the first.
   std::int64_t version_ = -1;
+  unapplied_configuration unapplied_;
   /// Names of the closed data centres.
   std::set<std::string> closed_data_centres_;
   /// The end of the time in which changes are deferred, after a restore.
--- a/src/app/structured_log.cc
+++ b/src/app/structured_log.cc
@@ -5,9 +5,11 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <chrono>
 #include <csignal>
+#include <utility>
 
 namespace papayaglade {
 
@@ -25,6 +27,9 @@
 constexpr std::size_t kMaxPendingEventBytes =
     kMaxPendingOwedBytes + kMaxPendingBytes;
 constexpr std::chrono::milliseconds kFlushDelay{100};
+// In the order of structured_log::kind.
+constexpr std::array<const char*, 5> kKindNames = {
+    "events", "failures", "attempts", "successes", "owed"};
 
 }  // namespace
 
@@ -49,11 +54,11 @@
 structured_log::structured_log(loop_context& loop, int descriptor)
     : loop_(loop),
       descriptor_(descriptor),
-      budgets_{{{kEventsPerSecond, kMaxPendingEventBytes, 0},
-                {kFailuresPerSecond, kMaxPendingBytes, 0},
-                {kAttemptsPerSecond, kMaxPendingBytes, 0},
-                {kSuccessesPerSecond, kMaxPendingBytes, 0},
-                {kOwedPerSecond, kMaxPendingOwedBytes, 0}}},
+      budgets_{{{kEventsPerSecond, kMaxPendingEventBytes},
+                {kFailuresPerSecond, kMaxPendingBytes},
+                {kAttemptsPerSecond, kMaxPendingBytes},
+                {kSuccessesPerSecond, kMaxPendingBytes},
+                {kOwedPerSecond, kMaxPendingOwedBytes}}},
       window_start_(loop_context::Now()) {
   // A blocked reader of standard output must not block requests, and one that
   // is gone must not end them.
@@ -67,7 +72,7 @@
   if (now - window_start_ >= std::chrono::seconds(1)) StartWindow(now);
   budget& own = budgets_.at(static_cast<std::size_t>(kind));
   if (own.used >= own.per_second || pending_.size() >= own.pending_bytes) {
-    ++dropped_lines_;
+    ++own.dropped;
     return;
   }
   ++own.used;
@@ -119,10 +124,18 @@
 }
 
 void structured_log::ReportDroppedLines() {
-  if (dropped_lines_ == 0) return;
+  std::uint64_t all = 0;
+  std::string by_kind;
+  for (std::size_t i = 0; i < budgets_.size(); ++i) {
+    const std::uint64_t dropped = std::exchange(budgets_.at(i).dropped, 0);
+    all += dropped;
+    if (dropped > 0)
+      by_kind +=
+          std::string(" ") + kKindNames.at(i) + "=" + std::to_string(dropped);
+  }
+  if (all == 0) return;
   pending_ +=
-      "event=lines_left_out count=" + std::to_string(dropped_lines_) + "\n";
-  dropped_lines_ = 0;
+      "event=lines_left_out count=" + std::to_string(all) + by_kind + "\n";
 }
 
 }  // namespace papayaglade
--- a/src/app/structured_log.h
+++ b/src/app/structured_log.h
@@ -55,6 +55,8 @@
     /// Size of the buffer beyond which lines of the kind are dropped.
     std::size_t pending_bytes = 0;
     std::size_t used = 0;
+    /// Lines that were not written since the last report of them.
+    std::uint64_t dropped = 0;
   };
 
   void ScheduleFlush();
@@ -68,7 +70,6 @@
   std::string pending_;
   std::array<budget, 5> budgets_;  ///< Rate limits, indexed by kind.
   monotonic_time window_start_;
-  std::uint64_t dropped_lines_ = 0;
   bool flush_scheduled_ = false;
 };
 
--- a/src/coordination/watch_wait.cc
+++ b/src/coordination/watch_wait.cc
@@ -18,6 +18,8 @@
 // longer answers.
 constexpr milliseconds kSharedWatchWait{1300};
 
+}  // namespace
+
 milliseconds AllowedDelay(stored_kind kind, const change_delays& delays) {
   switch (kind) {
     case stored_kind::kConfiguration:
@@ -31,8 +33,6 @@
   return delays.closed_data_centre;
 }
 
-}  // namespace
-
 milliseconds WatchWait(stored_kind kind, const change_delays& delays,
                        bool sharing) {
   const milliseconds wait =
--- a/src/coordination/watch_wait.h
+++ b/src/coordination/watch_wait.h
@@ -8,6 +8,10 @@
 
 namespace papayaglade {
 
+/// Returns how long a change of `kind` may take to come into force.
+std::chrono::milliseconds AllowedDelay(stored_kind kind,
+                                       const change_delays& delays);
+
 /// Returns how long the store may hold a watch on `kind` that has no changes.
 /// An answer to a watch may be lost without a sign, so each watch ends early
 /// enough to be repeated within the delay allowed for the changes behind it.
--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -246,6 +247,17 @@
           EncodeCbor(json::binary({why.begin(), why.end()}))};
 }
 
+std::vector<mirrored_object> LatestObjects(const store_page& page) {
+  std::set<std::string> names;
+  std::vector<mirrored_object> latest;
+  for (auto each = page.objects.rbegin(); each != page.objects.rend(); ++each) {
+    if (names.insert(each->name).second)
+      latest.push_back(ToMirroredObject(*each));
+  }
+  std::reverse(latest.begin(), latest.end());
+  return latest;
+}
+
 stored_object ToStoredObject(const mirrored_object& object) {
   stored_object result;
   result.name = object.name;
--- a/src/protocol/mirror_codec.h
+++ b/src/protocol/mirror_codec.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "protocol/store_format.h"
 #include "state/mirror_message.h"
@@ -21,6 +22,9 @@
 /// Converts an object of the store to the form that instances exchange. The
 /// reason why an object is unreadable is kept.
 mirrored_object ToMirroredObject(const stored_object& object);
+/// Returns each object of the page once, in the order of the last changes. The
+/// store returns all states of an object since the last watch.
+std::vector<mirrored_object> LatestObjects(const store_page& page);
 /// Reverses ToMirroredObject. A document that is not valid CBOR
 /// becomes an unreadable object.
 stored_object ToStoredObject(const mirrored_object& object);
--- a/src/transport/http_exchange_channel.cc
+++ b/src/transport/http_exchange_channel.cc
@@ -130,6 +130,8 @@
       if (unparsed_.size() <= kMaxUnparsedBytes) return;
       return Fail(channel_failure::kBroken, "bytes without end");
     }
+    if (failed == http::error::body_limit)
+      return Fail(channel_failure::kTooLarge, "answer too large");
     if (failed) return Fail(channel_failure::kBroken, "not an HTTP answer");
     if (!parser_->is_done()) continue;
     if (!IsUnderstood(parser_->get())) {
--- a/src/transport/http_exchange_channel.h
+++ b/src/transport/http_exchange_channel.h
@@ -21,6 +21,7 @@
 enum class channel_failure {
   kNotConnected,  ///< The connect failed; no byte was sent.
   kBroken,        ///< The connection ended, or the answer is not valid HTTP.
+  kTooLarge,      ///< The body exceeds what is read of one answer.
 };
 
 /// An HTTP/1.1 client connection that runs one exchange at a time. Bytes that
