--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "app/entry_metrics.h"
 #include "app/entry_service.h"
 #include "app/instance_registry.h"
 #include "app/metrics_registry.h"
@@ -165,83 +166,10 @@
   }
 
   operators_service::page Metrics() const {
-    std::string text = metrics_.Format();
-    const auto& totals = upstream_client_.Totals();
-    text += "papayaglade_attempts_total " + std::to_string(totals.sent) + "\n";
-    text += "papayaglade_upstream_connects_total " +
-            std::to_string(totals.connected) + "\n";
-    for (const auto& each : totals.ends) {
-      text += std::string("papayaglade_attempt_ends_total{end=\"") +
-              AttemptEndName(each.first) + "\"} " +
-              std::to_string(each.second) + "\n";
-    }
-    const answer_memory& answers = upstream_client_.AnswerMemory();
-    text += "papayaglade_received_answer_bytes " +
-            std::to_string(answers.HeldBytes()) + "\n";
-    text += "papayaglade_answers_given_up_total " +
-            std::to_string(answers.GivenUpCount()) + "\n";
-    const auto& relays = relay_client_.Totals();
-    text += "papayaglade_relay_requests_total " +
-            std::to_string(relays.requests) + "\n";
-    text +=
-        "papayaglade_relay_legs_total " + std::to_string(relays.legs) + "\n";
-    text += "papayaglade_relay_requests_lost_total " +
-            std::to_string(relays.lost) + "\n";
-    text += "papayaglade_relay_requests_silent_total " +
-            std::to_string(relays.silent) + "\n";
-    text += "papayaglade_relayed_legs_for_others_total " +
-            std::to_string(relay_server_.LegCount()) + "\n";
-    text += "papayaglade_upstream_leaving_notices_total " +
-            std::to_string(totals.leaving_notices) + "\n";
-    text += "papayaglade_upstream_pauses_total " +
-            std::to_string(totals.pauses) + "\n";
-    text += "papayaglade_store_calls_total " +
-            std::to_string(mirror_.StoreCallCount()) + "\n";
-    text += StoreEraMetrics();
-    text += CopyMetrics();
-    text += "papayaglade_unreadable_entries_total " +
-            std::to_string(applier_.UnreadableCount() +
-                           mirror_.UnnamedEntryCount()) +
-            "\n";
-    const mirror_followers& followers = mirror_.Followers();
-    text += "papayaglade_followers " + std::to_string(followers.Size()) + "\n";
-    text += "papayaglade_unsent_page_bytes " +
-            std::to_string(followers.UnsentPageBytes()) + "\n";
-    text += "papayaglade_follower_pages_deferred_total " +
-            std::to_string(followers.DeferredPageCount()) + "\n";
-    return {200, text};
-  }
-
-  std::string StoreEraMetrics() const {
-    std::string text;
-    if (era_.Known() != kNoEra) {
-      text += "papayaglade_store_era " + std::to_string(era_.Known()) + "\n";
-    }
-    text += "papayaglade_store_restores_total " +
-            std::to_string(era_.ChangeCount()) + "\n";
-    text += "papayaglade_store_old_answers_total " +
-            std::to_string(era_.OlderCount()) + "\n";
-    text += "papayaglade_instance_entered_again_total " +
-            std::to_string(registry_.ReentryCount()) + "\n";
-    return text;
-  }
-
-  std::string CopyMetrics() const {
-    std::string text = "papayaglade_configuration_version " +
-                       std::to_string(applier_.Version()) + "\n" +
-                       "papayaglade_configuration_unapplied " +
-                       (*applier_.Unapplied().why == '\0' ? "0" : "1") + "\n";
-    for (const stored_kind each : kMirroredKinds) {
-      const copy_status copy = mirror_.StatusOf(each);
-      const std::string kind =
-          std::string("{kind=\"") + StoredKindName(each) + "\"} ";
-      text += "papayaglade_copy_revision" + kind +
-              std::to_string(copy.at.revision) + "\n";
-      if (!copy.confirmed_age.has_value()) continue;
-      text += "papayaglade_copy_age_ms" + kind +
-              std::to_string(copy.confirmed_age->count()) + "\n";
-    }
-    return text + mirror_.Unused().Format();
+    const entry_metrics metrics({metrics_, upstream_client_, relay_client_,
+                                 relay_server_, mirror_, era_, applier_,
+                                 registry_});
+    return {200, metrics.Format()};
   }
 
   void LogNotice(const upstream_record& upstream,
