Count and log the attempts at upstreams that leave

The counter and the line, of which at most 20 a second are written with the other attempts, tell it with how long the upstream has been leaving and for how long it may still be asked.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -114,6 +114,16 @@
         [this](const upstream_record& upstream, const upstream_notice& notice) {
           LogNotice(upstream, notice);
         });
+    upstream_client_.SetOnSentToLeaving(
+        [this](const upstream_record& upstream, milliseconds usable) {
+          const milliseconds leaving = directory_.DrainTime() - usable;
+          log_.Write(structured_log::kind::kAttempt,
+                     log_line("attempt_to_leaving")
+                         .With("service", upstream.service)
+                         .With("upstream", upstream.id)
+                         .With("leaving_ms", leaving.count())
+                         .With("usable_ms", usable.count()));
+        });
     service_.SetStateStatus([this] { return StateStatus(); });
     service_.SetRelays(&relay_client_);
     era_.Subscribe([this](std::int64_t before, std::int64_t /*now*/) {
@@ -168,6 +178,8 @@
     std::string text = metrics_.Format();
     const auto& totals = upstream_client_.Totals();
     text += "papayaglade_attempts_total " + std::to_string(totals.sent) + "\n";
+    text += "papayaglade_attempts_to_leaving_total " +
+            std::to_string(totals.sent_to_leaving) + "\n";
     text += "papayaglade_upstream_connects_total " +
             std::to_string(totals.connected) + "\n";
     for (const auto& each : totals.ends) {
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -59,6 +59,7 @@
   started.carrier = AcquireConnection(spec.upstream, spec.request->id);
   directory_.CountSent(*spec.upstream, now);
   ++totals_.sent;
+  if (spec.upstream->IsLeaving()) CountSentToLeaving(*spec.upstream, now);
   std::string text = wire_.EncodeAttempt(*spec.request, spec.time_left,
                                          spec.upstream->record.id);
   const bool is_head = spec.request->method == "HEAD";
@@ -145,6 +146,15 @@
   return std::nullopt;
 }
 
+void upstream_client::CountSentToLeaving(const known_upstream& upstream,
+                                         monotonic_time now) {
+  ++totals_.sent_to_leaving;
+  if (!on_sent_to_leaving_) return;
+  on_sent_to_leaving_(upstream.record,
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          *upstream.usable_until - now));
+}
+
 void upstream_client::OnResult(id number,
                                http_exchange_channel::result result) {
   const auto found = exchanges_.find(number);
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -39,6 +39,8 @@
   /// Counts of attempts and connects since the start.
   struct totals {
     std::size_t sent = 0;  ///< Attempts sent.
+    /// Those of them to upstreams that leave, as the last resort.
+    std::size_t sent_to_leaving = 0;
     /// Connections opened, including those of probes.
     std::size_t connected = 0;
     /// Number of attempts for each end.
@@ -80,6 +82,14 @@
     on_notice_ = std::move(on_notice);
   }
 
+  /// Called when an attempt is sent to an upstream that leaves, with the time
+  /// for which it may still be asked.
+  using leaving_handler = std::function<void(const upstream_record& upstream,
+                                             std::chrono::milliseconds usable)>;
+  void SetOnSentToLeaving(leaving_handler on_sent_to_leaving) {
+    on_sent_to_leaving_ = std::move(on_sent_to_leaving);
+  }
+
   /// Connects to `upstream` and closes at once. A successful connect is
   /// reported to `reachability`.
   void Probe(const upstream_pointer& upstream);
@@ -118,6 +128,8 @@
   /// of the others.
   std::optional<connection> TakeIdleConnection(const upstream_pointer& upstream,
                                                const std::string& request_id);
+  /// Counts and reports an attempt that is sent to an upstream that leaves.
+  void CountSentToLeaving(const known_upstream& upstream, monotonic_time now);
   void OnResult(id number, http_exchange_channel::result result);
   void RecordHealth(const exchange& ended, attempt_end end);
   /// Applies and returns what the upstream says about itself in the head of its
@@ -153,6 +165,7 @@
   std::unordered_map<const known_upstream*, pool> pools_;
   silence_handler on_silent_;
   notice_handler on_notice_;
+  leaving_handler on_sent_to_leaving_;
   totals totals_;
 };
 
--- a/tests/unit/upstream_notice_client_test.cc
+++ b/tests/unit/upstream_notice_client_test.cc
@@ -56,12 +56,16 @@
   bool leaving = false;
   bool paused = false;
   std::vector<upstream_notice> notices;
+  std::size_t sent_to_leaving = 0;
+  std::vector<milliseconds> usable;
 };
 
 enum class caller { kWaits, kHasLeft };
+enum class standing { kStays, kLeaves };
 
 learnt AskOnce(const std::string& answer, bool is_fanout = false,
-               caller waits = caller::kWaits) {
+               caller waits = caller::kWaits,
+               standing upstream_state = standing::kStays) {
   scripted_upstream upstream(answer, milliseconds(20));
   loop_context loop;
   const platform::platform_wire_format wire;
@@ -89,6 +93,13 @@
     result.notices.push_back(each);
   });
   const upstream_pointer known = directory.All().at("i-1");
+  if (upstream_state == standing::kLeaves) {
+    directory.ConfirmList(loop_context::Now());
+    directory.Remove("i-1", loop_context::Now());
+  }
+  client.SetOnSentToLeaving([&](const upstream_record&, milliseconds usable) {
+    result.usable.push_back(usable);
+  });
   const auto number =
       client.StartAttempt({known, request, configuration,
                            &configuration->routes[0], milliseconds(1000)},
@@ -98,6 +109,7 @@
                      [&](monotonic_time) { loop.Stop(); });
   loop.Run();
   result.leaving = known->announced_leaving;
+  result.sent_to_leaving = client.Totals().sent_to_leaving;
   result.paused = known->pause.Until() > loop_context::Now();
   return result;
 }
@@ -183,4 +195,17 @@
   }
 }
 
+// Guards against attempts at leaving upstreams that on-call cannot see.
+TEST_CASE("attempts at a leaving upstream are counted", "[client][leaving]") {
+  const learnt stays = AskOnce(Success(""));
+  CHECK(stays.sent_to_leaving == 0);
+  CHECK(stays.usable.empty());
+  const learnt leaves =
+      AskOnce(Success(""), false, caller::kWaits, standing::kLeaves);
+  CHECK(leaves.sent_to_leaving == 1);
+  REQUIRE(leaves.usable.size() == 1);
+  CHECK(leaves.usable[0] > milliseconds(1500));
+  CHECK(leaves.usable[0] <= milliseconds(2200));
+}
+
 }  // namespace papayaglade
