--- a/tests/unit/late_report_test.cc
+++ b/tests/unit/late_report_test.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// The start of the process before the one that reports by default.
+constexpr std::int64_t kBefore = 1699999999000;
+
 class desk : public applied_instance {
  public:
   desk() { directory.ConfirmList(loop_context::Now()); }
@@ -114,4 +117,47 @@
   }
 }
 
+// Guards against requests to an upstream that leaves, and against failures of
+// one that has started again, after the store has executed late a report of the
+// process before it under its id.
+TEST_CASE("a late report of the process before takes no place",
+          "[directory][leaving]") {
+  desk tier;
+  tier.Receive(UpstreamReport("ready", 6, kBefore));
+  SECTION("the new process drains") {
+    tier.Receive(UpstreamReport("ready", 1));
+    tier.Receive(UpstreamReport("draining", 2));
+    tier.Receive(UpstreamReport("ready", 7, kBefore));
+    CHECK_FALSE(tier.IsReady());
+    tier.DropDrained();
+    CHECK(tier.directory.Size() == 0);
+  }
+  SECTION("the new process has drained") {
+    tier.Receive(UpstreamReport("draining", 2));
+    tier.DropDrained();
+    tier.Receive(UpstreamReport("ready", 7, kBefore));
+    CHECK_FALSE(tier.IsReady());
+  }
+  SECTION("the entry of the new process was removed") {
+    tier.Receive(UpstreamReport("ready", 1));
+    tier.Receive({"i-1", true});
+    tier.Receive(UpstreamReport("ready", 7, kBefore));
+    CHECK_FALSE(tier.IsReady());
+  }
+  SECTION("the new process is ready, the one before drained") {
+    tier.Receive(UpstreamReport("ready", 1));
+    tier.Receive(UpstreamReport("draining", 7, kBefore));
+    CHECK(tier.IsReady());
+  }
+  SECTION("the new process has another address") {
+    stored_object moved = UpstreamReport("ready", 1);
+    moved.content["address"] = "10.128.0.10:8080";
+    tier.Receive(moved);
+    tier.Receive(UpstreamReport("ready", 7, kBefore));
+    REQUIRE(tier.IsReady());
+    CHECK(tier.directory.All().at("i-1")->record.address.address ==
+          "10.128.0.10");
+  }
+}
+
 }  // namespace papayaglade
--- a/tests/unit/outdated_copy_test.cc
+++ b/tests/unit/outdated_copy_test.cc
@@ -87,6 +87,28 @@
   CHECK_FALSE(IsListed(instance));
 }
 
+// Guards against requests to an upstream that drains, because a restored store
+// lists the process before it under its id.
+TEST_CASE("an upstream that has restarted is not undone by an older copy",
+          "[store][era]") {
+  constexpr std::int64_t kBefore = 1699999999000;
+  applied_instance instance;
+  instance.directory.ConfirmList(loop_context::Now());
+  instance.Apply(stored_kind::kUpstreams,
+                 {UpstreamReport("ready", 5, kBefore)});
+  instance.Apply(stored_kind::kUpstreams, {UpstreamReport("ready", 1)});
+  const bool drains = GENERATE(false, true);
+  CAPTURE(drains);
+  if (drains) {
+    instance.Apply(stored_kind::kUpstreams, {UpstreamReport("draining", 2)});
+  }
+  Restore(instance);
+  instance.Apply(stored_kind::kUpstreams,
+                 {UpstreamReport("ready", 5, kBefore)});
+  CHECK(IsListed(instance) == !drains);
+  CHECK(instance.directory.All().at("i-1")->record.sequence < 5);
+}
+
 // Guards against failures of all upstreams that have entered themselves since
 // the copy was made.
 TEST_CASE("an upstream that an older copy lacks is waited for",
