Take no late report of the process before for the newest

What callers would see: an upstream that has started again under its id drains; the store executes late a report of the process before it, which says ready. The other way round, a late draining of the process before takes a ready upstream out of use, and a late address is asked in vain.

Cause: a report with another born replaced the known process by its arrival.

Why this works: reports under an id are ordered by born, then by sequence. Clocks may step, so a report of an earlier process isn't refused for good: it counts once its entry has stood for 4 s in a confirmed copy, since what lives writes its own report before and the entry of what has ended is removed. One that drains counts at the end of the drain time, so that no order lets requests through.

--- a/src/app/store_object_applier.cc
+++ b/src/app/store_object_applier.cc
@@ -1,5 +1,6 @@
 #include "app/store_object_applier.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -17,6 +18,9 @@
 constexpr std::size_t kMaxLoggedNameBytes = 64;
 // What was written since the copy of a restored store is written again by then.
 constexpr std::chrono::milliseconds kRewriteTime{2500};
+// A process that lives has written its own report by then, and the entry of one
+// that has ended is removed, after three reports that did not come.
+constexpr std::chrono::milliseconds kProofTime{4000};
 // Logged where the list of upstreams was never confirmed.
 constexpr std::chrono::milliseconds kUnknownAge{-1};
 
@@ -100,6 +104,8 @@
       return "outdated";
     case upstream_change::kDeferred:
       return "deferred";
+    case upstream_change::kEarlierProcess:
+      return "earlier_process";
   }
   return "unknown";
 }
@@ -131,10 +137,11 @@
 store_object_applier::upstream_change store_object_applier::ApplyUpstream(
     const stored_object& object, monotonic_time now) {
   deferred_upstreams_.erase(object.name);
+  const auto before = TakeEarlierProcess(object.name);
   fault_list faults;
   std::optional<upstream_record> record;
   if (!object.deleted) record = format_.DecodeUpstream(object, faults);
-  if (record.has_value()) return ApplyRecord(object, *record, now);
+  if (record.has_value()) return ApplyRecord(object, *record, before, now);
   directory_.Remove(object.name, now);
   if (object.deleted) return upstream_change::kGone;
   OnUnreadableUpstream(object, faults);
@@ -143,7 +150,11 @@
 
 store_object_applier::upstream_change store_object_applier::ApplyRecord(
     const stored_object& object, const upstream_record& record,
-    monotonic_time now) {
+    const std::optional<earlier_process>& before, monotonic_time now) {
+  if (directory_.IsOfEarlierProcess(record)) {
+    KeepEarlierProcess(object, record, before, now);
+    return upstream_change::kEarlierProcess;
+  }
   if (deferred_until_.has_value() && directory_.IsRemoved(record)) {
     deferred_upstreams_[object.name] = object;
     return upstream_change::kDeferred;
@@ -152,6 +163,45 @@
   return record.leaving ? upstream_change::kDraining : upstream_change::kReady;
 }
 
+std::optional<store_object_applier::earlier_process>
+store_object_applier::TakeEarlierProcess(const std::string& name) {
+  const auto found = earlier_processes_.find(name);
+  if (found == earlier_processes_.end()) return std::nullopt;
+  earlier_process taken = std::move(found->second);
+  earlier_processes_.erase(found);
+  return taken;
+}
+
+// Further reports of the process give it no longer to wait. One that leaves is
+// believed in any case before the drain time is over.
+void store_object_applier::KeepEarlierProcess(
+    const stored_object& object, const upstream_record& record,
+    const std::optional<earlier_process>& before, monotonic_time now) {
+  monotonic_time until =
+      record.leaving ? directory_.LeavingSince(now) + directory_.DrainTime()
+                     : now + kProofTime;
+  if (before.has_value() &&
+      before->record.start_time_ms == record.start_time_ms) {
+    until = std::min(until, before->until);
+  }
+  earlier_processes_[object.name] = {object, record, until};
+}
+
+// While the copy may be behind the store, it does not tell that an entry still
+// stands.
+void store_object_applier::ApplyEarlierProcesses(monotonic_time now) {
+  std::vector<stored_object> proved;
+  for (const auto& [name, each] : earlier_processes_) {
+    const bool stands = each.record.leaving
+                            ? now >= each.until
+                            : directory_.ListConfirmedAt() >= each.until;
+    if (!stands) continue;
+    directory_.ForgetLaterProcess(each.record);
+    proved.push_back(each.object);
+  }
+  if (!proved.empty()) OnUpstreams(proved);
+}
+
 void store_object_applier::OnUnreadableUpstream(const stored_object& object,
                                                 const fault_list& faults) {
   ++unreadable_;
@@ -194,6 +244,7 @@
 }
 
 void store_object_applier::ApplyDeferred(monotonic_time now) {
+  ApplyEarlierProcesses(now);
   if (!HasPassed(deferred_until_, now)) return;
   deferred_until_.reset();
   std::vector<stored_object> upstreams;
--- a/src/app/store_object_applier.h
+++ b/src/app/store_object_applier.h
@@ -32,7 +32,9 @@
 
   /// Handles that the store was restored, before its state is applied.
   void OnNewEra(monotonic_time now);
-  /// Applies what was deferred, once the time for that is over.
+  /// Applies what was deferred, once the time for that is over, and entries of
+  /// processes that started before a known one, once they have proved to be no
+  /// late reports.
   void ApplyDeferred(monotonic_time now);
 
   /// Returns the number of changes that could not be read as a configuration or
@@ -51,6 +53,15 @@
     kUnreadable,
     kOutdated,  ///< A later report of the upstream is known.
     kDeferred,  ///< It was gone, and the store may have come back from before.
+    kEarlierProcess,  ///< A process is known that started later.
+  };
+
+  /// An entry that does not count yet, as its process started before a known
+  /// one. What is live under the id writes its own report.
+  struct earlier_process {
+    stored_object object;
+    upstream_record record;
+    monotonic_time until;  ///< If the entry stands until then, it counts.
   };
 
   static const char* UpstreamChangeName(upstream_change change);
@@ -63,7 +74,18 @@
                                 monotonic_time now);
   upstream_change ApplyRecord(const stored_object& object,
                               const upstream_record& record,
+                              const std::optional<earlier_process>& before,
                               monotonic_time now);
+  /// Returns and removes what is kept of an earlier process of the upstream.
+  std::optional<earlier_process> TakeEarlierProcess(const std::string& name);
+  /// Keeps the entry of a process that started before a known one. `before` is
+  /// what was kept of the id.
+  void KeepEarlierProcess(const stored_object& object,
+                          const upstream_record& record,
+                          const std::optional<earlier_process>& before,
+                          monotonic_time now);
+  /// Applies the entries of earlier processes that have stood for long enough.
+  void ApplyEarlierProcesses(monotonic_time now);
   /// Counts and logs an object that does not describe an upstream.
   void OnUnreadableUpstream(const stored_object& object,
                             const fault_list& faults);
@@ -84,6 +106,8 @@
   std::optional<monotonic_time> deferred_until_;
   /// Entries of upstreams that were gone, keyed by name.
   std::map<std::string, stored_object> deferred_upstreams_;
+  /// Entries of processes that started before a known one, keyed by name.
+  std::map<std::string, earlier_process> earlier_processes_;
   /// Closed data centres that the store no longer lists.
   std::set<std::string> deferred_openings_;
 };
--- a/src/coordination/upstream_directory.h
+++ b/src/coordination/upstream_directory.h
@@ -47,6 +47,12 @@
   /// Returns whether the entry of the process in `record` was removed since its
   /// report in the record.
   bool IsRemoved(const upstream_record& record) const;
+  /// Returns whether a process under the id of `record` is known that started
+  /// after that of the record. Its report is late, or its machine's clock has
+  /// stepped back before it started.
+  bool IsOfEarlierProcess(const upstream_record& record) const;
+  /// Lets the process of `record` take the place of one that started later.
+  void ForgetLaterProcess(const upstream_record& record);
   /// Applies what the process of `upstream` says about itself. It binds this
   /// instance for as long as that process lives, whatever becomes of its entry.
   /// Returns true if it is new.
@@ -62,6 +68,8 @@
   const std::optional<monotonic_time>& ListConfirmedAt() const {
     return list_confirmed_at_;
   }
+  /// Returns since when an upstream may be leaving whose leaving is learnt now.
+  monotonic_time LeavingSince(monotonic_time now) const;
   /// Starts draining an upstream that the store no longer lists.
   void Remove(const std::string& id, monotonic_time now);
   /// Erases an upstream at once, as when another one answers at its address.
@@ -192,8 +200,6 @@
   /// Returns the relative expected time of a request; lower is better.
   double Cost(const known_upstream& upstream, const upstream_criteria& criteria,
               monotonic_time now) const;
-  /// Returns since when an upstream may be leaving whose leaving is learnt now.
-  monotonic_time LeavingSince(monotonic_time now) const;
   /// Sets `usable_until` if the upstream was not known to leave yet.
   void StartDraining(known_upstream& upstream, monotonic_time since) const;
 
--- a/src/coordination/upstream_restrictions.cc
+++ b/src/coordination/upstream_restrictions.cc
@@ -12,6 +12,16 @@
   return same ? &found->second.restriction : nullptr;
 }
 
+std::int64_t upstream_restrictions::StartTime(const std::string& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? 0 : found->second.start_time_ms;
+}
+
+void upstream_restrictions::Replace(const upstream_record& record) {
+  const auto found = by_id_.find(record.id);
+  if (found != by_id_.end()) found->second = {record.start_time_ms, {}};
+}
+
 void upstream_restrictions::Remember(const upstream_record& record,
                                      const upstream_restriction& restriction) {
   const auto found = by_id_.find(record.id);
--- a/src/coordination/upstream_restrictions.h
+++ b/src/coordination/upstream_restrictions.h
@@ -40,6 +40,12 @@
   /// Returns the restriction of the process in `record`, or null if nothing is
   /// remembered of it.
   const upstream_restriction* Find(const upstream_record& record) const;
+  /// Returns the start time of the process under the id of which something is
+  /// remembered, or 0 if there is none.
+  std::int64_t StartTime(const std::string& id) const;
+  /// Remembers the process in `record`, without a restriction, in place of any
+  /// other one under its id.
+  void Replace(const upstream_record& record);
   /// Sets the restriction of the process in `record`, unless a later process
   /// under the same id has one.
   void Remember(const upstream_record& record,
--- a/tests/soak/drain_cases.py
+++ b/tests/soak/drain_cases.py
@@ -10,6 +10,7 @@
 REQUEST_INTERVAL_S = 0.05
 # Until after the drain time, had it begun only with the late news.
 WATCHED_S = 7.0
+REPORT_INTERVAL_S = 1.2
 
 
 class LeavingSearcher(ObedientSearcher):
@@ -76,4 +77,36 @@
     return await late_news(tier, remove)
 
 
-DRAIN_CASES = [silent_store_hides_draining, silent_store_hides_removal]
+async def late_report_of_the_process_before(tier):
+    """The only upstream of a service has started again under its id, and it
+    drains. The store executes a report of the process before it late, until
+    the next report of the new one."""
+    await tier.start()
+    await tier.searchers["archive"].crash()
+    leaving = LeavingSearcher("i-leaving", "archive", "kigali", free_port(), 0,
+                              tier.ledger, slots=200)
+    await leaving.start()
+    before = leaving.entry()
+    await tier.store.put("servers", leaving.id, before)
+    leaving.born += 5000
+    leaving.sequence = 0
+    await tier.store.put("servers", leaving.id, leaving.entry())
+    callers = asyncio.create_task(press(tier))
+    await asyncio.sleep(1.0)
+    acked_s = tier.now()
+    while tier.now() < acked_s + DRAIN_TIMEOUT_S:
+        await tier.store.put("servers", leaving.id, leaving.entry("draining"))
+        await asyncio.sleep(REPORT_INTERVAL_S)
+    before["sequence"] += 1
+    await tier.store.put("servers", leaving.id, before)
+    await asyncio.sleep(REPORT_INTERVAL_S)
+    await tier.store.put("servers", leaving.id, leaving.entry("draining"))
+    callers.cancel()
+    late = [round(each - acked_s, 2) for each in leaving.arrivals
+            if each > acked_s + DRAIN_TIMEOUT_S]
+    return bool(leaving.arrivals) and not late, (
+        f"{len(leaving.arrivals)} arrivals, {len(late)} late: {late[:5]}")
+
+
+DRAIN_CASES = [silent_store_hides_draining, silent_store_hides_removal,
+               late_report_of_the_process_before]
--- a/tests/unit/late_report_test.cc
+++ b/tests/unit/late_report_test.cc
@@ -160,4 +160,61 @@
   }
 }
 
+// Guards against upstreams that are never used again, as the clock of their
+// machine has stepped back before they started.
+TEST_CASE("a process with an earlier start counts once its entry stands",
+          "[directory][leaving]") {
+  constexpr std::chrono::milliseconds kProofTime{4000};
+  desk tier;
+  const monotonic_time start = loop_context::Now();
+  const auto pass = [&](std::chrono::milliseconds time) {
+    tier.directory.ConfirmList(start + time);
+    tier.applier.ApplyDeferred(start + time);
+  };
+  tier.Receive(UpstreamReport("ready", 1));
+  const bool drained = GENERATE(false, true);
+  CAPTURE(drained);
+  if (drained) {
+    tier.Receive(UpstreamReport("draining", 2));
+    tier.DropDrained();
+  }
+  const auto lines = tier.Receive(UpstreamReport("ready", 1, kBefore));
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].find("state=earlier_process") != std::string::npos);
+  SECTION("it stands") {
+    tier.Receive(UpstreamReport("ready", 2, kBefore));
+    pass(kProofTime - std::chrono::milliseconds(1));
+    CHECK(tier.IsReady() == !drained);
+    pass(kProofTime + std::chrono::milliseconds(500));
+    REQUIRE(tier.IsReady());
+    CHECK(tier.directory.All().at("i-1")->record.start_time_ms == kBefore);
+    // It now counts as any other process.
+    tier.Receive(UpstreamReport("draining", 3, kBefore));
+    tier.Receive(UpstreamReport("ready", 2, kBefore));
+    CHECK_FALSE(tier.IsReady());
+  }
+  SECTION("the copy of the store is behind") {
+    tier.applier.ApplyDeferred(start + 2 * kProofTime);
+    CHECK(tier.IsReady() == !drained);
+  }
+  SECTION("it drains at once") {
+    tier.Receive(UpstreamReport("draining", 2, kBefore));
+    tier.applier.ApplyDeferred(loop_context::Now() +
+                               tier.directory.DrainTime());
+    CHECK_FALSE(tier.IsReady());
+  }
+  SECTION("the later process reports") {
+    tier.Receive(UpstreamReport("ready", 4));
+    pass(2 * kProofTime);
+    REQUIRE(tier.IsReady());
+    CHECK(tier.directory.All().at("i-1")->record.start_time_ms != kBefore);
+  }
+  SECTION("the entry is removed") {
+    tier.Receive({"i-1", true});
+    tier.DropDrained();
+    pass(2 * kProofTime);
+    CHECK(tier.directory.Size() == 0);
+  }
+}
+
 }  // namespace papayaglade
