--- a/tests/unit/caller_connection_test.cc
+++ b/tests/unit/caller_connection_test.cc
@@ -35,6 +35,7 @@
     from->Respond("[" + targets.back() + "]", !message.keep_alive());
   }
   void OnMalformed(const connection& from, bool too_large) override {
+    ++refusals;
     from->Respond(too_large ? "[large]" : "[bad]", true);
   }
 
@@ -42,6 +43,7 @@
   std::function<void(const connection&, const caller_message&)> answer;
   std::vector<std::string> targets;
   std::atomic<std::size_t> requests{0};
+  std::atomic<std::size_t> refusals{0};
 };
 
 /// A port whose loop runs on its own thread after Run.
@@ -122,6 +124,11 @@
   return out;
 }
 
+std::string PostWith(const std::string& body) {
+  return "POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
 const std::string kLastRequest =
     "GET /last HTTP/1.1\r\nConnection: close\r\n\r\n";
 
@@ -364,4 +371,55 @@
   CHECK(loop_context::Now() - start < milliseconds(1000));
 }
 
+// Guards against proper requests that are refused, as the limits have been
+// raised since their connection was opened or used last.
+TEST_CASE("a request is held to the limits in force when it begins",
+          "[connection]") {
+  constexpr std::size_t kLowBytes = 600;
+  constexpr std::size_t kHighBytes = 1000;
+  port_process port;
+  port.service.limits.body_bytes = kLowBytes;
+  port.service.limits.header_bytes = kLowBytes;
+  caller sender(port);
+  const auto answered = [&port](std::size_t requests) {
+    REQUIRE(RunUntil(port.loop, [&] {
+      return port.service.requests + port.service.refusals == requests;
+    }));
+    return port.service.refusals == 0;
+  };
+  const bool used = GENERATE(false, true);
+  CAPTURE(used);
+  if (used) {
+    sender.Send("GET /first HTTP/1.1\r\n\r\n");
+    REQUIRE(answered(1));
+  } else {
+    REQUIRE(
+        RunUntil(port.loop, [&] { return port.port.ConnectionCount() == 1; }));
+  }
+  SECTION("raised") {
+    port.service.limits.body_bytes = kHighBytes;
+    port.service.limits.header_bytes = kHighBytes;
+    const std::string large(kHighBytes - 200, 'x');
+    const std::string request = GENERATE_COPY(
+        PostWith(large), "GET /a HTTP/1.1\r\nX-Long: " + large + "\r\n\r\n");
+    sender.Send(request);
+    CHECK(answered(used ? 2 : 1));
+  }
+  const std::string small = PostWith(std::string(kLowBytes - 100, 'x'));
+  SECTION("lowered") {
+    port.service.limits.body_bytes = 0;
+    sender.Send(small);
+    CHECK_FALSE(answered(used ? 2 : 1));
+  }
+  SECTION("lowered while it is on its way") {
+    sender.Send(small.substr(0, small.size() - 1));
+    const monotonic_time sent = loop_context::Now();
+    RunUntil(port.loop,
+             [&] { return loop_context::Now() - sent > milliseconds(50); });
+    port.service.limits.body_bytes = 0;
+    sender.Send(small.substr(small.size() - 1));
+    CHECK(answered(used ? 2 : 1));
+  }
+}
+
 }  // namespace papayaglade
