Hold each request to the limits in force when it begins

What callers would see: after the operator has raised max_body_bytes or max_header_bytes, 413 and a closed connection for the next request on each connection that is open, though its size is allowed.

Cause: the parser of a request was made, with the limits of that moment, when the answer before it was written or its connection accepted.

Why this works: the parser is made anew when the first bytes of a request arrive. A request on its way keeps its limits, for chunk headers too.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -113,10 +113,10 @@
 }
 
 void caller_connection::ResetParser() {
-  const caller_limits limits = owner_.Limits();
+  limits_ = owner_.Limits();
   parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-  parser_->body_limit(limits.body_bytes);
+  parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+  parser_->body_limit(limits_.body_bytes);
   parser_->eager(true);
   continue_sent_ = false;
 }
@@ -151,7 +151,11 @@
 
 void caller_connection::ParseNext() {
   while (consumed_ < received_.size()) {
-    if (!parser_->got_some()) ArmTimeout(owner_.Limits().header_timeout);
+    if (!parser_->got_some()) {
+      // The limits may have changed since the last request ended.
+      ResetParser();
+      ArmTimeout(limits_.header_timeout);
+    }
     error_code failed;
     std::string_view rest = received_;
     rest.remove_prefix(consumed_);
@@ -159,7 +163,7 @@
     consumed_ += used;
     // The parser itself does not limit the size of chunk headers and trailers.
     const bool endless = failed == http::error::need_more &&
-                         rest.size() - used > owner_.Limits().header_bytes;
+                         rest.size() - used > limits_.header_bytes;
     if (endless) failed = http::error::header_limit;
     const bool whole = !failed && parser_->is_done();
     const bool valid = whole || !failed || failed == http::error::need_more;
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -111,6 +111,7 @@
   using parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  /// Prepares for a request under the limits that are in force.
   void ResetParser();
   void OnBytes(std::string_view bytes);
   /// Returns true if the next request may be taken: the one before has been
@@ -146,6 +147,7 @@
   std::shared_ptr<stream_socket> socket_;
   owner& owner_;
   std::optional<parser> parser_;
+  caller_limits limits_;  ///< Of the request that is read, or comes next.
   /// Received bytes, of which the parser has consumed the first `consumed_`.
   std::string received_;
   std::size_t consumed_ = 0;
