Show that one value keeps a configuration out of force

The store accepts only valid configurations, and each that is refused here leaves old routes in force: 404 for the new ones, until the operator writes another one without that value.

--- a/tests/unit/platform_store_format_test.cc
+++ b/tests/unit/platform_store_format_test.cc
@@ -117,6 +117,81 @@
   CHECK_FALSE(faults[0].remedy.empty());
 }
 
+// Guards against a configuration that the store has accepted and that is not
+// put into force for one value, nor any later one that has it too.
+TEST_CASE("a configuration is read beyond the limits of this program",
+          "[store]") {
+  const auto decode = [](const char* pointer, const json& value) {
+    json document = json::parse(kConfiguration);
+    document[json::json_pointer(pointer)] = value;
+    CAPTURE(pointer, value.dump());
+    fault_list faults;
+    auto read = platform_store_format().DecodeConfiguration(
+        {"main", false, document}, faults);
+    CHECK(faults.empty());
+    REQUIRE(read.has_value());
+    return *read;
+  };
+  SECTION("values above the highest that is supported") {
+    CHECK(decode("/limits/max_body_bytes", 1 << 30).limits.body_bytes >=
+          std::size_t{64'000'000});
+    CHECK(decode("/limits/idle_timeout_ms", 7'200'000).limits.idle_timeout >=
+          std::chrono::hours(1));
+    CHECK(decode("/routes/0/timeout_ms", 7'200'000).routes[0].timeout >=
+          std::chrono::hours(1));
+    CHECK(decode("/routes/0/max_attempts", UINT64_MAX).routes[0].max_attempts >=
+          1000);
+    CHECK(decode("/services/0/max_connections", 1e300)
+              .services.at("s1")
+              .connections >= 1000);
+  }
+  SECTION("whole numbers that are written with a fraction") {
+    CHECK(decode("/routes/0/max_attempts", 3.0).routes[0].max_attempts == 3);
+    CHECK(decode("/routes/0/priority", 1.0).routes[0].priority == 1);
+    CHECK(decode("/limits/max_header_bytes", 8192.0).limits.header_bytes ==
+          8192);
+  }
+  SECTION("null in place of a member that may be missing") {
+    CHECK(decode("/limits", nullptr).limits.body_bytes ==
+          caller_limits().body_bytes);
+    CHECK(decode("/limits/max_body_bytes", nullptr).limits.body_bytes ==
+          caller_limits().body_bytes);
+    CHECK(decode("/routes/0/priority", nullptr).routes[0].priority == 0);
+    CHECK(decode("/routes/0/timeout_ms", nullptr).routes[0].timeout ==
+          milliseconds(0));
+    CHECK_FALSE(decode("/routes/0/type", nullptr).routes[0].idempotent);
+    const auto single = decode("/routes/1/fanout_services", nullptr);
+    CHECK(std::holds_alternative<single_target>(single.routes[1].target));
+    CHECK(decode("/services/0/warmup_s", nullptr).services.at("s1").warmup ==
+          milliseconds(0));
+  }
+}
+
+TEST_CASE("values without a meaning are rejected", "[store]") {
+  const auto [pointer, value] = GENERATE(table<const char*, json>({
+      {"/version", 7.5},
+      {"/version", nullptr},
+      {"/routes/0/max_attempts", 0},
+      {"/routes/0/max_attempts", 1.5},
+      {"/routes/0/max_attempts", "2"},
+      {"/routes/0/timeout_ms", -1},
+      {"/routes/0/priority", -1},
+      {"/routes/1/service", nullptr},
+      {"/services/0/max_connections", 0},
+      {"/limits/idle_timeout_ms", 0},
+      {"/limits", json::array({1})},
+  }));
+  CAPTURE(pointer, value.dump());
+  json document = json::parse(kConfiguration);
+  document[json::json_pointer(pointer)] = value;
+  fault_list faults;
+  CHECK_FALSE(platform_store_format()
+                  .DecodeConfiguration({"main", false, document}, faults)
+                  .has_value());
+  REQUIRE(faults.size() == 1);
+  CHECK(faults[0].pointer == pointer);
+}
+
 TEST_CASE("lists and events are decoded, malformed ones rejected", "[store]") {
   const platform_store_format store;
   const auto list = store.DecodeList(
