Read configurations beyond the limits of this program

What callers would see: after the operator has written a configuration with one value that the store accepts and this program refused, 404 for new routes and the old service for moved ones, until a version without that value.

Cause: the decoder refuses a configuration whole for a number above its own ranges (max_body_bytes of 64 MiB, a time-out above one hour), a whole number written as 2.0, or null for a member that may be missing.

What has no meaning is refused as before, which 'values without a meaning are rejected' keeps. Entries of upstreams are read as strictly as before.

Why this works: the ranges keep numbers from overflowing, for which the highest that is supported serves as well.

--- a/src/protocol/json_reader.cc
+++ b/src/protocol/json_reader.cc
@@ -1,5 +1,6 @@
 #include "protocol/json_reader.h"
 
+#include <cmath>
 #include <utility>
 
 namespace papayaglade {
@@ -146,6 +147,33 @@
   return MaybeNumber(key, min_value, max_value).value_or(fallback);
 }
 
+std::int64_t json_reader::IntegerUpTo(const std::string& key,
+                                      std::int64_t fallback,
+                                      std::int64_t min_value,
+                                      std::int64_t max_value) {
+  const nlohmann::json* member = Find(key);
+  if (!IsSet(key)) return fallback;
+  if (member->is_number()) {
+    const auto number = member->get<double>();
+    if (number >= static_cast<double>(max_value)) return max_value;
+    // Here the whole part of a number that is not too small can be an integer.
+    const bool whole =
+        member->is_number_float() && std::floor(number) == number;
+    if (whole && number >= static_cast<double>(min_value))
+      return static_cast<std::int64_t>(number);
+  }
+  return OptionalInteger(key, fallback, min_value, max_value);
+}
+
+double json_reader::NumberUpTo(const std::string& key, double fallback,
+                               double min_value, double max_value) {
+  const nlohmann::json* member = Find(key);
+  if (!IsSet(key)) return fallback;
+  if (member->is_number() && member->get<double>() >= max_value)
+    return max_value;
+  return OptionalNumber(key, fallback, min_value, max_value);
+}
+
 bool json_reader::OptionalBool(const std::string& key, bool fallback) {
   const nlohmann::json* member = Find(key);
   if (member == nullptr) return fallback;
@@ -197,6 +225,10 @@
   return value_->contains(key);
 }
 
+bool json_reader::IsSet(const std::string& key) const {
+  return Has(key) && !value_->at(key).is_null();
+}
+
 void json_reader::RejectUnknownMembers() {
   for (const auto& member : value_->items()) {
     if (requested_keys_.count(member.key()) != 0) continue;
--- a/src/protocol/json_reader.h
+++ b/src/protocol/json_reader.h
@@ -53,6 +53,14 @@
                                     double max_value);
   double OptionalNumber(const std::string& key, double fallback,
                         double min_value, double max_value);
+  /// Like OptionalInteger, for documents that were accepted elsewhere: null is
+  /// like a missing member, a whole number may have a fraction of 0, and a
+  /// number above `max_value` is read as `max_value`.
+  std::int64_t IntegerUpTo(const std::string& key, std::int64_t fallback,
+                           std::int64_t min_value, std::int64_t max_value);
+  /// Likewise for OptionalNumber.
+  double NumberUpTo(const std::string& key, double fallback, double min_value,
+                    double max_value);
   bool OptionalBool(const std::string& key, bool fallback);
   /// Returns a reader of the object in member `key`, or of an empty object if
   /// the member is missing.
@@ -64,6 +72,8 @@
   std::vector<std::string> Strings(const std::string& key);
 
   bool Has(const std::string& key) const;
+  /// Returns whether the member is present and not null.
+  bool IsSet(const std::string& key) const;
 
   /// Adds a fault for each member that was never read.
   void RejectUnknownMembers();
