--- a/src/app/entry_metrics.cc
+++ b/src/app/entry_metrics.cc
@@ -27,6 +27,7 @@
 std::string entry_metrics::FormatUpstreams() const {
   const auto& totals = parts_.upstreams.Totals();
   std::string text = Line("attempts_total", totals.sent) +
+                     Line("attempts_to_leaving_total", totals.sent_to_leaving) +
                      Line("upstream_connects_total", totals.connected);
   for (const auto& each : totals.ends) {
     text +=
