--- a/tests/unit/store_standin.cc
+++ b/tests/unit/store_standin.cc
@@ -162,10 +162,14 @@
     return from->Respond(Answer(200, "{}"), false);
   }
   const std::int64_t since = QueryNumber(target, "watch");
-  if (since < 0)
-    return List(from, kind,
-                target.find("after=&") != std::string::npos ||
-                    target.substr(target.size() - 6) == "after=");
+  const bool first_page = target.find("after=&") != std::string::npos ||
+                          target.substr(target.size() - 6) == "after=";
+  using part = read_call::part;
+  const part asked = since >= 0   ? part::kWatch
+                     : first_page ? part::kFirstPage
+                                  : part::kLaterPage;
+  reads_.push_back({kind, asked, since, loop_context::Now()});
+  if (since < 0) return List(from, reads_.back());
   if (since > revision_) return from->Respond(Answer(410, "{}"), false);
   const watch added{++last_watch_, kind, since, from};
   if (AnswerWatch(added, early_answers_)) return;
@@ -184,8 +188,17 @@
   from->Respond(Answer(400, ""), true);
 }
 
+void store_standin::Respond(const std::shared_ptr<caller_connection>& to,
+                            const read_call& call, const json& body) {
+  std::string answer = Answer(200, Format(body));
+  if (edit_) answer = edit_(call, answer);
+  to->Respond(std::move(answer), false);
+}
+
 void store_standin::List(const std::shared_ptr<caller_connection>& to,
-                         const std::string& kind, bool first_page) {
+                         const read_call& call) {
+  const std::string kind = call.kind;
+  const bool first_page = call.asked == read_call::part::kFirstPage;
   ++lists_[kind];
   json items = json::array();
   for (const auto& each : objects_) {
@@ -197,7 +210,7 @@
   const json body = {{"items", items},
                      {"has_more", later_pages_ != later_pages::kNone},
                      {"at", revision_}};
-  to->Respond(Answer(200, Format(body)), false);
+  Respond(to, call, body);
   if (on_list_) on_list_(kind);
 }
 
@@ -215,7 +228,8 @@
     return true;
   }
   const json body = {{"events", events}, {"at", revision_}};
-  watch.connection->Respond(Answer(200, Format(body)), false);
+  Respond(watch.connection,
+          {watch.kind, read_call::part::kWatch, watch.from, {}}, body);
   return true;
 }
 
--- a/tests/unit/store_standin.h
+++ b/tests/unit/store_standin.h
@@ -39,6 +39,19 @@
     std::vector<event> events;
   };
 
+  /// A list or a watch.
+  struct read_call {
+    enum class part { kFirstPage, kLaterPage, kWatch };
+
+    std::string kind;
+    part asked = part::kFirstPage;
+    std::int64_t since = -1;  ///< The revision from which it watches.
+    monotonic_time at;
+  };
+  /// Returns what to send in place of an answer.
+  using answer_edit =
+      std::function<std::string(const read_call&, const std::string& answer)>;
+
   explicit store_standin(loop_context& loop);
 
   const endpoint& Address() const { return address_; }
@@ -77,6 +90,13 @@
   void SetOnList(std::function<void(const std::string& kind)> on_list) {
     on_list_ = std::move(on_list);
   }
+  /// Passes all answers to lists and watches through `edit`.
+  void SetAnswerEdit(answer_edit edit) { edit_ = std::move(edit); }
+  /// Returns an answer that names the era of the store.
+  std::string Answer(int status, const std::string& body) const;
+  /// Returns all lists and watches, in order.
+  const std::vector<read_call>& Reads() const { return reads_; }
+  std::int64_t Revision() const { return revision_; }
   bool Has(const std::string& kind, const std::string& name) const {
     return objects_.count({kind, name}) == 1;
   }
@@ -109,10 +129,11 @@
     std::shared_ptr<caller_connection> connection;
   };
 
-  std::string Answer(int status, const std::string& body) const;
+  void Respond(const std::shared_ptr<caller_connection>& to,
+               const read_call& call, const nlohmann::json& body);
   void AddEvent(const std::string& kind, const std::string& name, bool deleted);
   void List(const std::shared_ptr<caller_connection>& to,
-            const std::string& kind, bool first_page);
+            const read_call& call);
   /// Returns `body` as text, with the content of PutText in place.
   std::string Format(const nlohmann::json& body) const;
   /// Answers `watch` with its events. Returns false without answering if there
@@ -137,6 +158,8 @@
   std::map<std::string, std::size_t> lists_;
   std::int64_t era_ = 1;
   std::function<void(const std::string& kind)> on_list_;
+  answer_edit edit_;
+  std::vector<read_call> reads_;
   std::vector<monotonic_time> creation_times_;
 };
 
