List again when an answer of the store cannot be taken

Cause: after an answer that could not be taken the feed asked the same again, so the same came back. Only 410 led to a list.

Now one rule in feed_plan, OnUnusable: whatever makes an answer useless, the next call lists from the first page; at once, or after the backoff of a failure, the first time, and 500 ms later at the soonest when it happens again before a watch was answered. It holds for answers that are unreadable, too large, cut short (watches), rejected (4xx but 408 and 429), of an older era, continued from another era, or behind the position that was asked for. 503, 429 and silence still repeat the same call, so an outage costs the store no more lists than before.

An answer that is too large no longer counts as an outage of the store.

--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -19,6 +19,17 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusGone = 410;
 
+// The store is not down; it does not take this question. 408 and 429 ask for
+// the same one later.
+bool IsRejection(int status) {
+  constexpr int kTimeout = 408;
+  constexpr int kTooMany = 429;
+  constexpr int kFirst = 400;
+  constexpr int kEnd = 500;
+  return status >= kFirst && status < kEnd && status != kTimeout &&
+         status != kTooMany;
+}
+
 }  // namespace
 
 store_feed::store_feed(loop_context& loop, const store_format& format,
@@ -66,7 +77,7 @@
 
 void store_feed::FailPendingWatch() {
   if (plan_.LastCallFailed() || plan_.IsListing() || pending_call_ == 0) return;
-  HandleFailure("suspected", failure_origin::kUnclear);
+  HandleFailure("suspected", failure_origin::kUnclear, next_call::kSame);
 }
 
 void store_feed::Resume() {
@@ -87,7 +98,7 @@
   call_start_ = loop_context::Now();
   timeout_ = loop_.ScheduleAfter(next.timeout, [this](monotonic_time) {
     timeout_.reset();
-    HandleFailure("no answer", OriginOfSilence());
+    HandleFailure("no answer", OriginOfSilence(), next_call::kSame);
   });
   std::string request =
       next.is_list ? format_.FormatListRequest(kind_, next.after_name, false)
@@ -102,37 +113,43 @@
 
 void store_feed::OnResult(const feed_plan::call& completed,
                           const http_exchange_channel::result& result) {
-  if (result.failure.has_value()) {
-    if (result.failure == channel_failure::kTooLarge)
-      ReportUnused(unused_reason::kTooLarge);
-    return HandleFailure(result.why, OriginOfSilence());
-  }
+  if (result.failure.has_value()) return OnNoAnswer(completed, result);
   EndCall();
   const era_relation era = era_.Observe(format_.DecodeEra(result.message));
-  if (era == era_relation::kOlder) {
-    ReportUnused(unused_reason::kOlderEra);
-    return HandleFailure("an older era", failure_origin::kUnclear);
-  }
+  if (era == era_relation::kOlder)
+    return HandleUnusableFailure(unused_reason::kOlderEra, "an older era");
   OnAnswer(completed, result.message);
 }
 
+// A page that was cut short is asked for again, so that a list comes to its end
+// over connections that break. A watch brings more and more instead.
+void store_feed::OnNoAnswer(const feed_plan::call& completed,
+                            const http_exchange_channel::result& result) {
+  if (result.failure == channel_failure::kTooLarge)
+    return HandleUnusableFailure(unused_reason::kTooLarge, result.why);
+  const bool cut_watch = result.has_head && !completed.is_list;
+  HandleFailure(result.why, OriginOfSilence(),
+                cut_watch ? next_call::kList : next_call::kSame);
+}
+
+void store_feed::OnRefused(int status) {
+  HandleFailure("refused", failure_origin::kStore,
+                IsRejection(status) ? next_call::kList : next_call::kSame);
+}
+
 void store_feed::OnAnswer(const feed_plan::call& completed,
                           const upstream_message& answer) {
   const auto status = static_cast<int>(answer.result_int());
-  if (status != kStatusOk && status != kStatusGone)
-    return HandleFailure("refused", failure_origin::kStore);
   if (status == kStatusGone) return OnHistoryGone();
+  if (status != kStatusOk) return OnRefused(status);
   // What continues from a position of another era does not belong to it.
   const bool continues = !completed.is_list || !completed.after_name.empty();
-  if (continues && completed.position.era != era_.Known()) {
-    ReportUnused(unused_reason::kOtherEra);
-    RecordAnswer();
-    return ScheduleCall(milliseconds(0));
-  }
+  if (continues && completed.position.era != era_.Known())
+    return HandleUnusable(unused_reason::kOtherEra, plan_.Position());
   if (!completed.is_list) return OnEvents(completed, answer.body());
   if (plan_.IsListing()) return OnList(answer.body());
   // The state came from another source while the list was pending.
-  ReportUnused(unused_reason::kSuperseded);
+  ReportUnused(unused_reason::kSuperseded, plan_.Position());
   RecordAnswer();
   ScheduleCall(milliseconds(0));
 }
@@ -150,10 +167,8 @@
 
 void store_feed::OnList(const std::string& body) {
   auto page = format_.DecodeList(kind_, body);
-  if (!page.has_value()) {
-    ReportUnused(unused_reason::kUnreadable);
-    return HandleFailure("unreadable list", failure_origin::kUnclear);
-  }
+  if (!page.has_value())
+    return HandleUnusableFailure(unused_reason::kUnreadable, "unreadable list");
   page->position.era = era_.Known();
   RecordAnswer();
   if (listed_objects_.empty()) list_start_ = call_start_;
@@ -174,11 +189,13 @@
 void store_feed::OnEvents(const feed_plan::call& completed,
                           const std::string& body) {
   auto page = format_.DecodeEvents(kind_, body);
-  if (!page.has_value()) {
-    ReportUnused(unused_reason::kUnreadable);
-    return HandleFailure("unreadable events", failure_origin::kUnclear);
-  }
+  if (!page.has_value())
+    return HandleUnusableFailure(unused_reason::kUnreadable,
+                                 "unreadable events");
   page->position.era = era_.Known();
+  // The store has gone back, or the answer is an old one.
+  if (page->position < completed.position)
+    return HandleUnusable(unused_reason::kBehind, page->position);
   const answer_time time = TimeOf(completed);
   RecordAnswer();
   CountUnnamed(*page);
@@ -216,11 +233,26 @@
                  .With("remedy", "remove the entries from the store"));
 }
 
-void store_feed::ReportUnused(unused_reason why) const {
-  if (handlers_.on_unused) handlers_.on_unused(why, plan_.Position());
+void store_feed::ReportUnused(unused_reason why,
+                              const store_position& arrived) const {
+  if (handlers_.on_unused) handlers_.on_unused(why, arrived);
 }
 
-void store_feed::HandleFailure(const char* why, failure_origin origin) {
+void store_feed::HandleUnusable(unused_reason why,
+                                const store_position& arrived) {
+  ReportUnused(why, arrived);
+  RecordAnswer();
+  listed_objects_.clear();
+  ScheduleCall(plan_.OnUnusable());
+}
+
+void store_feed::HandleUnusableFailure(unused_reason why, const char* failure) {
+  ReportUnused(why, plan_.Position());
+  HandleFailure(failure, failure_origin::kUnclear, next_call::kList);
+}
+
+void store_feed::HandleFailure(const char* why, failure_origin origin,
+                               next_call next) {
   EndCall();
   channel_->Close();
   const bool first_failure = !plan_.LastCallFailed();
@@ -232,7 +264,11 @@
                    .With("era", plan_.Position().era)
                    .With("revision", plan_.Position().revision));
   }
-  const milliseconds delay = plan_.OnFailure();
+  milliseconds delay = plan_.OnFailure();
+  if (next == next_call::kList) {
+    listed_objects_.clear();
+    delay = std::max(delay, plan_.OnUnusable());
+  }
   if (listed_ && resume_required_ && active_) {
     deferred_delay_ = delay;
   } else {
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -19,7 +19,7 @@
 
 /// Follows all objects of one kind in the store: lists them, then watches for
 /// changes from the position of the list. Lists again when the store no longer
-/// has the history since that position.
+/// has the history since that position, or when an answer cannot be taken.
 class store_feed {
  public:
   /// What an answer says about the age of its content.
@@ -109,9 +109,22 @@
   };
   /// Returns the origin of a call's end without an answer.
   failure_origin OriginOfSilence() const;
-  void HandleFailure(const char* why, failure_origin origin);
+  /// Handles a call's end without a complete answer.
+  void OnNoAnswer(const feed_plan::call& completed,
+                  const http_exchange_channel::result& result);
+  void OnRefused(int status);
+  enum class next_call {
+    kSame,  ///< The call may succeed when it is made again.
+    kList,  ///< Its answer cannot be taken.
+  };
+  void HandleFailure(const char* why, failure_origin origin, next_call next);
+  /// Handles an answer of the known era that cannot be taken.
+  void HandleUnusable(unused_reason why, const store_position& arrived);
+  /// Handles an answer up to an unknown position that cannot be taken and shows
+  /// that this call fails.
+  void HandleUnusableFailure(unused_reason why, const char* failure);
   /// Reports an answer that is not used.
-  void ReportUnused(unused_reason why) const;
+  void ReportUnused(unused_reason why, const store_position& arrived) const;
   answer_time TimeOf(const feed_plan::call& completed) const;
   void ScheduleCall(std::chrono::milliseconds delay);
   /// Notes that no call is pending any more.
--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -21,7 +21,7 @@
 // An answer this long is only a part of the waiting changes, so the rest is
 // fetched at once.
 constexpr std::size_t kMinBacklogEvents = 30;
-// Used if the history is gone again before any watch was answered.
+// Used if an answer cannot be taken again before any watch was answered.
 constexpr milliseconds kRepeatedListDelay{500};
 constexpr milliseconds kInitialBackoff{100};
 constexpr milliseconds kMaxBackoff{800};
@@ -54,7 +54,7 @@
 
 milliseconds feed_plan::OnEvents(const store_position& position,
                                  std::size_t count) {
-  history_gone_ = false;
+  relisted_ = false;
   last_call_failed_ = false;
   backoff_ = milliseconds(0);
   position_ = std::max(position_, position);
@@ -66,9 +66,13 @@
 milliseconds feed_plan::OnHistoryGone() {
   last_call_failed_ = false;
   backoff_ = milliseconds(0);
+  return OnUnusable();
+}
+
+milliseconds feed_plan::OnUnusable() {
   is_listing_ = true;
   last_name_.clear();
-  const bool repeated = std::exchange(history_gone_, true);
+  const bool repeated = std::exchange(relisted_, true);
   return repeated ? kRepeatedListDelay : milliseconds(0);
 }
 
--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -43,6 +43,9 @@
                                      std::size_t count);
   std::chrono::milliseconds OnHistoryGone();
   std::chrono::milliseconds OnFailure();
+  /// Handles an answer that cannot be taken: the same call might be answered
+  /// alike for ever, so the next one lists from the first page.
+  std::chrono::milliseconds OnUnusable();
 
   /// Continues with watches from `position`, because the state as of then came
   /// from another source. Returns false if the position is not a later one.
@@ -66,8 +69,9 @@
   store_position position_;
   bool is_listing_ = true;
   bool last_call_failed_ = false;
-  /// The history was gone, and no watch has been answered since.
-  bool history_gone_ = false;
+  /// A list was begun for an answer that cannot be taken, and no watch has been
+  /// answered since.
+  bool relisted_ = false;
   std::chrono::milliseconds backoff_{0};
 };
 
