List again when the copy refuses a page of the store

What callers would see: an instance keeps the state of before where a page of the store does not fit its copy: one that starts after it, or a list at a lower position with another content, of a store that names no era and has gone back, or after an answer far ahead. It goes on as if nothing were wrong; the copy even counts as confirmed, so nothing shows it.

Cause: store_mirror dropped what object_mirror refused, the feed moved on, and the confirmation asked only whether the copy's position was not below the page's, or whether the watch had been held, whatever position it started from.

Now the copy says how a page relates to it. What does not connect makes the feed list (feed_plan::OnNotTaken, at the same rate as other answers that cannot be taken). Only pages that are applied, or that say what the copy holds, confirm it; so does a report of another instance, unless it names another content for the same position. A whole page that contradicts the copy is taken if the next one does so too while the copy is where it was: a store that has gone back says so again, a late answer does not. The line store_went_back tells of it.

Not mended: instances that follow others refuse the page of a source that has gone back without an era.

--- a/src/app/mirror_log_lines.cc
+++ b/src/app/mirror_log_lines.cc
@@ -41,6 +41,17 @@
       .With("ms", elapsed.count());
 }
 
+log_line WentBackLine(stored_kind kind, const store_position& before,
+                      const store_position& now,
+                      const std::vector<mirrored_object>& changes) {
+  return log_line("store_went_back")
+      .With("kind", StoredKindName(kind))
+      .With("era", now.era)
+      .With("revision", now.revision)
+      .With("revision_before", before.revision)
+      .With("changed", static_cast<std::int64_t>(changes.size()));
+}
+
 log_line MirrorStateLine(source_state state, source_state before,
                          std::size_t followers) {
   return log_line("mirror_state")
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -177,13 +177,15 @@
     listed_objects_.push_back(std::move(each));
   const bool more =
       page->has_more && listed_objects_.size() < kMaxListedObjects;
-  ScheduleCall(plan_.OnPage(page->position, more, page->last_name));
-  if (plan_.IsListing()) return;
+  const milliseconds delay =
+      plan_.OnPage(page->position, more, page->last_name);
+  if (plan_.IsListing()) return ScheduleCall(delay);
   listed_ = true;
   store_page full_page;
   full_page.objects = std::exchange(listed_objects_, {});
   full_page.position = plan_.Position();
-  handlers_.on_list(full_page, {list_start_, false});
+  const bool taken = handlers_.on_list(full_page, {list_start_, false});
+  ScheduleCall(taken ? delay : plan_.OnNotTaken());
 }
 
 void store_feed::OnEvents(const feed_plan::call& completed,
@@ -204,8 +206,8 @@
   if (early && page->position <= completed.position) {
     delay = std::max(delay, kRepeatedAnswerDelay);
   }
-  ScheduleCall(delay);
-  handlers_.on_events(completed.position, *page, time);
+  const bool taken = handlers_.on_events(completed.position, *page, time);
+  ScheduleCall(taken ? delay : plan_.OnNotTaken());
 }
 
 // The answer may have waited for this process after the store gave it, but the
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -31,10 +31,12 @@
     bool was_held = false;
   };
   struct handlers {
-    /// Receives all objects as of the position of the page.
-    std::function<void(const store_page&, const answer_time&)> on_list;
+    /// Receives all objects as of the position of the page. Returns false if
+    /// the page cannot be taken.
+    std::function<bool(const store_page&, const answer_time&)> on_list;
     /// Receives the changes after `from`, up to the position of the page.
-    std::function<void(const store_position& from, const store_page&,
+    /// Returns false if the page cannot be taken.
+    std::function<bool(const store_position& from, const store_page&,
                        const answer_time&)>
         on_events;
     /// Called when the store stops answering; may be empty.
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -85,12 +85,12 @@
   store_feed::handlers result;
   result.on_list = [this, kind](const store_page& page,
                                 const store_feed::answer_time& time) {
-    OnStorePage(kind, page_content::kWhole, {}, page, time);
+    return OnStorePage(kind, page_content::kWhole, {}, page, time);
   };
   result.on_events = [this, kind](const store_position& from,
                                   const store_page& page,
                                   const store_feed::answer_time& time) {
-    OnStorePage(kind, page_content::kChanges, from, page, time);
+    return OnStorePage(kind, page_content::kChanges, from, page, time);
   };
   result.on_unavailable = [this] { OnStoreUnavailable(); };
   result.on_lost = [this] { OnStoreLost(); };
@@ -153,21 +153,20 @@
   return entries;
 }
 
-void store_mirror::OnStorePage(std::size_t kind, page_content content,
+bool store_mirror::OnStorePage(std::size_t kind, page_content content,
                                const store_position& from,
                                const store_page& page,
                                const store_feed::answer_time& time) {
-  mirror_page mirrored;
-  mirrored.kind = kMirroredKinds[kind];
-  mirrored.content = content;
-  mirrored.from = from;
-  mirrored.to = page.position;
-  mirrored.objects = LatestObjects(page);
-  if (time.was_held) Confirm(kind, time.confirmed_at);
+  mirror_page mirrored =
+      ToMirrorPage(kMirroredKinds[kind], content, from, page);
+  const page_relation relation = kinds_[kind].objects.RelationOf(mirrored);
+  const bool connected =
+      relation == page_relation::kNewer || relation == page_relation::kHeld;
+  if (time.was_held && connected) Confirm(kind, time.confirmed_at);
   mirrored.confirmed_age = ConfirmedAge(kind);
-  ApplyPage(kind, std::move(mirrored), "");
-  if (kinds_[kind].objects.At() >= page.position)
-    Confirm(kind, time.confirmed_at);
+  const bool applied = ApplyPage(kind, std::move(mirrored), "");
+  if (applied || connected) Confirm(kind, time.confirmed_at);
+  return applied || relation != page_relation::kUnconnected;
 }
 
 void store_mirror::Confirm(std::size_t kind, monotonic_time time) {
@@ -213,7 +212,8 @@
   mirrored_kind& own = kinds_[kind];
   const bool complete = own.objects.IsComplete();
   const mirror_position before = own.objects.Position();
-  const auto changes = own.objects.Apply(page);
+  const auto changes = source.empty() ? own.objects.ApplyFromStore(page)
+                                      : own.objects.Apply(page);
   if (!changes.has_value()) {
     NoteUnused(kind, page);
     return false;
@@ -225,6 +225,9 @@
                            std::chrono::duration_cast<milliseconds>(
                                loop_context::Now() - era_start_)));
   }
+  if (page.to < before.at)
+    log_.Write(structured_log::kind::kEvent,
+               WentBackLine(page.kind, before.at, page.to, *changes));
   if (complete && page.confirmed_age.has_value())
     Confirm(kind, loop_context::Now() - *page.confirmed_age);
   page.confirmed_age = ConfirmedAge(kind);
@@ -445,12 +448,13 @@
   if (!at.has_value()) return false;
   era_.Observe(at->era);
   mirrored_kind& own = kinds_[kind];
-  const bool has_changes =
-      own.objects.AdvanceTo({position.kind, *at, position.digest});
+  const mirror_position reported{position.kind, *at, position.digest};
+  const bool differs = own.objects.Contradicts(reported);
+  const bool has_changes = own.objects.AdvanceTo(reported);
   // The answer to the first subscription may have been deferred.
   if (!own.objects.IsComplete()) return position.at.revision > 0;
   own.feed.SkipTo(own.objects.At());
-  if (has_changes) ConfirmAs(kind, report, now);
+  if (has_changes && !differs) ConfirmAs(kind, report, now);
   return !has_changes;
 }
 
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -84,7 +84,8 @@
                          const entry_settings& settings, bool sharing);
   /// Returns the handlers of the feed of one kind, by index.
   store_feed::handlers HandlersOf(std::size_t kind);
-  void OnStorePage(std::size_t kind, page_content content,
+  /// Returns false if the copy cannot take the page.
+  bool OnStorePage(std::size_t kind, page_content content,
                    const store_position& from, const store_page& page,
                    const store_feed::answer_time& time);
   /// Notes that the copy of one kind was that of the store at `time`.
--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -45,6 +45,7 @@
   // Keeps the position of the first page: changes made while the other pages
   // are fetched arrive again with the watch.
   if (last_name_.empty()) position_ = position;
+  relisted_before_ = relisted_;
   // The next page would repeat this one or the first.
   const bool advanced = !last_name.empty() && last_name != last_name_;
   is_listing_ = more && advanced;
@@ -54,7 +55,7 @@
 
 milliseconds feed_plan::OnEvents(const store_position& position,
                                  std::size_t count) {
-  relisted_ = false;
+  relisted_before_ = std::exchange(relisted_, false);
   last_call_failed_ = false;
   backoff_ = milliseconds(0);
   position_ = std::max(position_, position);
@@ -76,6 +77,11 @@
   return repeated ? kRepeatedListDelay : milliseconds(0);
 }
 
+milliseconds feed_plan::OnNotTaken() {
+  relisted_ = relisted_before_;
+  return OnUnusable();
+}
+
 bool feed_plan::SkipTo(const store_position& position) {
   if (position <= position_) return false;
   is_listing_ = false;
--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -46,6 +46,9 @@
   /// Handles an answer that cannot be taken: the same call might be answered
   /// alike for ever, so the next one lists from the first page.
   std::chrono::milliseconds OnUnusable();
+  /// Does so for the page that was handled last, which turned out to be of no
+  /// use.
+  std::chrono::milliseconds OnNotTaken();
 
   /// Continues with watches from `position`, because the state as of then came
   /// from another source. Returns false if the position is not a later one.
@@ -72,6 +75,8 @@
   /// A list was begun for an answer that cannot be taken, and no watch has been
   /// answered since.
   bool relisted_ = false;
+  /// The same, before the answer that was handled last.
+  bool relisted_before_ = false;
   std::chrono::milliseconds backoff_{0};
 };
 
--- a/src/coordination/object_mirror.cc
+++ b/src/coordination/object_mirror.cc
@@ -21,6 +21,36 @@
   if (page.kind != kind_) return std::nullopt;
   if (complete_ && page.to <= at_) return std::nullopt;
   if (!IsApplicable(page)) return std::nullopt;
+  return TakeOver(page);
+}
+
+// A later call of the store tells of all that an earlier one did, so a copy is
+// only contradicted by an answer that is late, or by a store that has gone back
+// and names no new era. Asked again, only the latter says so again.
+std::optional<std::vector<mirrored_object>> object_mirror::ApplyFromStore(
+    const mirror_page& page) {
+  const page_relation relation = RelationOf(page);
+  const bool whole = page.content == page_content::kWhole;
+  const bool contradicts = relation == page_relation::kUnconnected && whole;
+  const bool again = contradicts && doubted_at_ == at_;
+  doubted_at_.reset();
+  if (again) return TakeOver(page);
+  if (contradicts) doubted_at_ = at_;
+  return Apply(page);
+}
+
+page_relation object_mirror::RelationOf(const mirror_page& page) const {
+  if (!complete_ || page.to > at_)
+    return IsApplicable(page) ? page_relation::kNewer
+                              : page_relation::kUnconnected;
+  const bool whole = page.content == page_content::kWhole;
+  const bool overtaken = page.to < at_ && !whole;
+  if (overtaken && page.from < at_) return page_relation::kOvertaken;
+  const bool held = !overtaken && ComputeChanges(page).empty();
+  return held ? page_relation::kHeld : page_relation::kUnconnected;
+}
+
+std::vector<mirrored_object> object_mirror::TakeOver(const mirror_page& page) {
   std::vector<mirrored_object> changes = ComputeChanges(page);
   MoveTo(page.to);
   for (const mirrored_object& each : changes)
@@ -116,11 +146,12 @@
     skipped_.pop_front();
 }
 
-// What is noted of changes are revisions of the era before.
+// What is noted of changes are revisions of the era before, or of a history
+// that the store has taken back.
 void object_mirror::MoveTo(const store_position& position) {
-  const bool same_era = position.era == at_.era;
+  const bool continues = position.era == at_.era && position >= at_;
   at_ = position;
-  if (same_era) return;
+  if (continues) return;
   for (auto& each : objects_) each.second.changed_at = 0;
   deletions_.clear();
   skipped_.clear();
@@ -149,6 +180,10 @@
                       });
 }
 
+bool object_mirror::Contradicts(const mirror_position& position) const {
+  return complete_ && position.at == at_ && position.digest != digest_;
+}
+
 // Without a look at the objects, changes that are still to come would be taken
 // for old ones.
 bool object_mirror::AdvanceTo(const mirror_position& position) {
--- a/src/coordination/object_mirror.h
+++ b/src/coordination/object_mirror.h
@@ -13,19 +13,37 @@
 
 namespace papayaglade {
 
+/// How a page of the store relates to a copy.
+enum class page_relation {
+  kNewer,       ///< It continues from the copy, or holds all objects, later on.
+  kHeld,        ///< It reaches no further and says what the copy holds.
+  kOvertaken,   ///< The copy is past it and past the position it starts from.
+  kUnconnected  ///< It starts after the copy, or contradicts it.
+};
+
 /// A copy of the store's objects of one kind, which knows what has changed
-/// recently. It keeps the latest state of an object only. Its position never
-/// goes back, whichever source a page comes from. In a new era of the store it
-/// starts with all objects, and knows no changes before.
+/// recently. It keeps the latest state of an object only. Its position goes
+/// back only if the store lists an earlier state twice in a row. In a new era
+/// of the store it starts with all objects, and knows no changes before.
 class object_mirror {
  public:
   explicit object_mirror(stored_kind kind) : kind_(kind) {}
 
+  page_relation RelationOf(const mirror_page& page) const;
+
   /// Applies a page that reaches beyond the known revision and returns the
   /// changes to this copy, each object once. Returns nothing for a page that
   /// does not apply: changes after a gap, or a difference to another copy.
   std::optional<std::vector<mirrored_object>> Apply(const mirror_page& page);
 
+  /// Does so with a page of the store. A whole page that contradicts this copy
+  /// is applied if the one before did so as well.
+  std::optional<std::vector<mirrored_object>> ApplyFromStore(
+      const mirror_page& page);
+
+  /// Returns whether `position` is this copy's, but that of another content.
+  bool Contradicts(const mirror_position& position) const;
+
   /// Moves on to `position`, the one of another copy, if this copy has the same
   /// objects. Returns false if it lacks changes up to that position.
   bool AdvanceTo(const mirror_position& position);
@@ -68,6 +86,8 @@
   };
 
   mirror_page MakeWholePage() const;
+  /// Moves to the position of a page and returns the changes to this copy.
+  std::vector<mirrored_object> TakeOver(const mirror_page& page);
   /// Returns whether the page starts from what this copy holds.
   bool IsApplicable(const mirror_page& page) const;
   void ApplyObject(const mirrored_object& object, std::int64_t revision);
@@ -83,12 +103,15 @@
   bool KnowsChangesSince(const store_position& position) const;
   /// Forgets what changed before `revision`.
   void ForgetChangesBefore(std::int64_t revision);
-  /// Moves to `position`. Forgets all changes if it is in another era.
+  /// Moves to `position`. Forgets all changes unless it is a later one of the
+  /// era.
   void MoveTo(const store_position& position);
 
   stored_kind kind_;
   bool complete_ = false;
   store_position at_;
+  /// The position at which the last page of the store contradicted this copy.
+  std::optional<store_position> doubted_at_;
   std::uint64_t digest_ = 0;
   std::size_t bytes_ = 0;
   /// The objects, keyed by name.
--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -247,15 +247,21 @@
           EncodeCbor(json::binary({why.begin(), why.end()}))};
 }
 
-std::vector<mirrored_object> LatestObjects(const store_page& page) {
+mirror_page ToMirrorPage(stored_kind kind, page_content content,
+                         const store_position& from, const store_page& page) {
+  mirror_page mirrored;
+  mirrored.kind = kind;
+  mirrored.content = content;
+  mirrored.from = from;
+  mirrored.to = page.position;
   std::set<std::string> names;
-  std::vector<mirrored_object> latest;
+  std::vector<mirrored_object>& latest = mirrored.objects;
   for (auto each = page.objects.rbegin(); each != page.objects.rend(); ++each) {
     if (names.insert(each->name).second)
       latest.push_back(ToMirroredObject(*each));
   }
   std::reverse(latest.begin(), latest.end());
-  return latest;
+  return mirrored;
 }
 
 stored_object ToStoredObject(const mirrored_object& object) {
--- a/src/protocol/mirror_codec.h
+++ b/src/protocol/mirror_codec.h
@@ -22,9 +22,10 @@
 /// Converts an object of the store to the form that instances exchange. The
 /// reason why an object is unreadable is kept.
 mirrored_object ToMirroredObject(const stored_object& object);
-/// Returns each object of the page once, in the order of the last changes. The
-/// store returns all states of an object since the last watch.
-std::vector<mirrored_object> LatestObjects(const store_page& page);
+/// Returns a page of the store, with each object once, in the order of the last
+/// changes. The store returns all states of an object since the last watch.
+mirror_page ToMirrorPage(stored_kind kind, page_content content,
+                         const store_position& from, const store_page& page);
 /// Reverses ToMirroredObject. A document that is not valid CBOR
 /// becomes an unreadable object.
 stored_object ToStoredObject(const mirrored_object& object);
--- a/tests/unit/feed_plan_test.cc
+++ b/tests/unit/feed_plan_test.cc
@@ -69,6 +69,35 @@
   CHECK(plan.Next().position.revision == 300);
 }
 
+// Guards against a call that is answered for ever by what cannot be taken, and
+// against lists without a pause where that goes on.
+TEST_CASE(
+    "an answer that cannot be taken is followed by lists at a bounded rate",
+    "[feed][vain]") {
+  constexpr milliseconds kLeastPause{500};
+  feed_plan plan = WatchingPlan();
+  const bool by_the_copy = GENERATE(false, true);
+  const auto end = [&] {
+    if (!by_the_copy) return plan.OnUnusable();
+    plan.OnEvents(At(101), 1);
+    return plan.OnNotTaken();
+  };
+  CHECK(end() == milliseconds(0));
+  for (int i = 0; i < 3; ++i) {
+    CHECK(plan.Next().is_list);
+    CHECK(plan.Next().after_name.empty());
+    plan.OnPage(At(300), true, "m");
+    CHECK(plan.OnUnusable() >= kLeastPause);
+    CHECK(plan.Next().after_name.empty());
+    plan.OnPage(At(300), false, "z");
+    CHECK_FALSE(plan.Next().is_list);
+    CHECK(end() >= kLeastPause);
+  }
+  plan.OnPage(At(300), false, "z");
+  plan.OnEvents(At(301), 1);
+  CHECK(end() == milliseconds(0));
+}
+
 // Guards against a watch that continues from a position in the history before
 // the store was restored.
 TEST_CASE("a new era begins with a list", "[feed][era]") {
--- a/tests/unit/object_mirror_test.cc
+++ b/tests/unit/object_mirror_test.cc
@@ -58,6 +58,62 @@
   CHECK(mirror.At().revision == 10);
 }
 
+// Guards against a page that is taken for the store's word on this copy,
+// although it says something else or starts after it.
+TEST_CASE("a copy knows which pages of the store connect to it",
+          "[mirror][vain]") {
+  const object_mirror mirror = MirrorOf({{"a", false, "1"}}, 10);
+  const std::vector<mirrored_object> same{{"a", false, "1"}};
+  const std::vector<mirrored_object> other{{"a", false, "2"}};
+  using relation = page_relation;
+  CHECK(mirror.RelationOf(Page(10, 11, other)) == relation::kNewer);
+  CHECK(mirror.RelationOf(Page(8, 11, other)) == relation::kNewer);
+  CHECK(mirror.RelationOf(Page(0, 11, other, true)) == relation::kNewer);
+  CHECK(mirror.RelationOf(Page(10, 10, {})) == relation::kHeld);
+  CHECK(mirror.RelationOf(Page(8, 10, same)) == relation::kHeld);
+  CHECK(mirror.RelationOf(Page(0, 9, same, true)) == relation::kHeld);
+  CHECK(mirror.RelationOf(Page(8, 9, other)) == relation::kOvertaken);
+  CHECK(mirror.RelationOf(Page(11, 12, same)) == relation::kUnconnected);
+  CHECK(mirror.RelationOf(Page(10, 9, {})) == relation::kUnconnected);
+  CHECK(mirror.RelationOf(Page(10, 10, other)) == relation::kUnconnected);
+  CHECK(mirror.RelationOf(Page(0, 10, other, true)) == relation::kUnconnected);
+  CHECK(mirror.RelationOf(Page(0, 9, {}, true)) == relation::kUnconnected);
+  CHECK(object_mirror(kKind).RelationOf(Page(0, 5, same)) ==
+        relation::kUnconnected);
+}
+
+// Guards against a copy that one late answer turns back, and against one that
+// refuses for ever what a store says that has gone back and names no new era.
+TEST_CASE("a list that contradicts a copy is taken the second time in a row",
+          "[mirror][vain]") {
+  object_mirror mirror = MirrorOf({{"a", false, "1"}}, 10);
+  mirror.ApplyFromStore(Page(10, 12, {{"b", false, "1"}, {"c", true, ""}}));
+  const mirror_page back = Page(0, 9, {{"a", false, "1"}}, true);
+  CHECK_FALSE(mirror.ApplyFromStore(back).has_value());
+  SECTION("a page in between connects") {
+    mirror.ApplyFromStore(Page(12, 12, {}));
+    CHECK_FALSE(mirror.ApplyFromStore(back).has_value());
+  }
+  SECTION("another source has moved the copy on") {
+    REQUIRE(mirror.Apply(Page(12, 13, {{"d", false, "1"}})).has_value());
+    CHECK_FALSE(mirror.ApplyFromStore(back).has_value());
+    CHECK(mirror.ApplyFromStore(back).has_value());
+  }
+  SECTION("the second time in a row") {
+    const auto changes = mirror.ApplyFromStore(back);
+    REQUIRE(changes.has_value());
+    CHECK(changes->size() == 1);
+    CHECK(mirror.At().revision == 9);
+    CHECK(mirror.Size() == 1);
+    // What changed later in the history before tells nothing.
+    mirror.ApplyFromStore(Page(9, 11, {{"e", false, "1"}}));
+    const auto since = mirror.PageSince({kKind, {kEra, 8}, 0});
+    REQUIRE(since.has_value());
+    CHECK(since->content == page_content::kWhole);
+    CHECK(mirror.PageSince({kKind, {kEra, 9}, 0})->objects.size() == 1);
+  }
+}
+
 // Guards against undoing changes when the pages of two sources overlap: an
 // upstream that drains must not count as ready again for a moment.
 TEST_CASE("known changes are not reported again", "[mirror]") {
