Let a feed between two calls list when it is told of a restore

What callers would see: an instance keeps the state before a restore for the time of a watch longer than needed, although another instance has told it of the restore.

Cause: store_feed::ListAgain did nothing where no call was pending, as in the pause after changes, and store_mirror had noted the era as asked for. So nobody asked.

Now the next call is a list, whether one is pending or due. A feed that makes no calls is left alone: its first answer names the era.

Evidence: "a feed that is between two calls lists when it is told to" failed before and passes.

--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -64,9 +64,9 @@
 }
 
 void store_feed::ListAgain() {
-  if (plan_.IsListing() || pending_call_ == 0) return;
+  if (plan_.IsListing() || idle_) return;
   plan_.ListAgain();
-  Recall();
+  if (pending_call_ != 0) Recall();
 }
 
 void store_feed::Recall() {
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -68,7 +68,8 @@
   /// that is pending is given up.
   void StartEra();
 
-  /// Gives up a pending watch and lists instead.
+  /// Gives up a pending watch and lists instead, or makes the next call a list.
+  /// Does nothing while no calls are made.
   void ListAgain();
 
   /// Fails a pending watch, because another feed found that the store does not
