--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -21,7 +21,7 @@
 // An answer this long is only a part of the waiting changes, so the rest is
 // fetched at once.
 constexpr std::size_t kMinBacklogEvents = 30;
-// Used if the history is gone again before any watch was answered.
+// Used if an answer cannot be taken again before any watch was answered.
 constexpr milliseconds kRepeatedListDelay{500};
 constexpr milliseconds kInitialBackoff{100};
 constexpr milliseconds kMaxBackoff{800};
@@ -45,6 +45,7 @@
   // Keeps the position of the first page: changes made while the other pages
   // are fetched arrive again with the watch.
   if (last_name_.empty()) position_ = position;
+  relisted_before_ = relisted_;
   // The next page would repeat this one or the first.
   const bool advanced = !last_name.empty() && last_name != last_name_;
   is_listing_ = more && advanced;
@@ -54,7 +55,7 @@
 
 milliseconds feed_plan::OnEvents(const store_position& position,
                                  std::size_t count) {
-  history_gone_ = false;
+  relisted_before_ = std::exchange(relisted_, false);
   last_call_failed_ = false;
   backoff_ = milliseconds(0);
   position_ = std::max(position_, position);
@@ -66,12 +67,21 @@
 milliseconds feed_plan::OnHistoryGone() {
   last_call_failed_ = false;
   backoff_ = milliseconds(0);
+  return OnUnusable();
+}
+
+milliseconds feed_plan::OnUnusable() {
   is_listing_ = true;
   last_name_.clear();
-  const bool repeated = std::exchange(history_gone_, true);
+  const bool repeated = std::exchange(relisted_, true);
   return repeated ? kRepeatedListDelay : milliseconds(0);
 }
 
+milliseconds feed_plan::OnNotTaken() {
+  relisted_ = relisted_before_;
+  return OnUnusable();
+}
+
 bool feed_plan::SkipTo(const store_position& position) {
   if (position <= position_) return false;
   is_listing_ = false;
