Judge the state that each request of the soak was handled by

The users saw CONFIG and DENIED broken by real processes; the soak judged CONFIG by one probe after some changes and DENIED not at all.

The probe after a change is made whatever came after it, as routes that are named after a version stay; it was left out once another version had followed. It looks at its own answer, as others ask for the same route now. What a store writes again after a restore no longer replaces a newer version that is written in that moment.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import collections
 import sys
 
 from .large_changes import LargeChanges
@@ -37,6 +38,9 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--instances", type=int, default=6)
     parser.add_argument("--folder")
+    parser.add_argument("--second-program", metavar="PATH",
+                        help="a program of another version that every other "
+                        "instance runs; each restart takes the other one")
     arguments = parser.parse_args()
     runs = {"stops": Stops, "stop_cases": StopCases,
             "large_changes": LargeChanges}
@@ -47,6 +51,9 @@
     asyncio.run(soak.run())
     seed = f"seed {arguments.seed}"
     print(f"{seed}: {dict(sorted(soak.ledger.counts.items()))}")
+    promises = (each.split(":")[0] for each in soak.ledger.violations)
+    for promise, count in collections.Counter(promises).items():
+        print(f"{seed}: {count} times violated: {promise}")
     for each in soak.ledger.violations[:SHOWN_VIOLATIONS]:
         print(f"{seed}: violated: {each}")
     if soak.ledger.violations:
--- a/tests/soak/case_tier.py
+++ b/tests/soak/case_tier.py
@@ -35,6 +35,7 @@
     def __init__(self, name, cases):
         self.name = name
         self.build = cases.build
+        self.programs = [os.path.join(self.build, "papayaglade")]
         self.folder = cases.folder
         self.ledger = cases.ledger
         self.drain_timeout_s = DRAIN_TIMEOUT_S
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -145,13 +145,14 @@
     async def check_in_force(self, version, acked_s):
         for each in list(self.instances):
             elapsed_s = self.now() - acked_s
-            if not self.store_is_stable() or self.version != version:
+            if (not self.store_is_stable()
+                    or f"v{version}" not in self.routes.named):
                 continue
             if not each.undisturbed_for(elapsed_s + STABLE_WINDOW_S):
                 continue
-            served = self.ledger.counts.get(f"v{version} 404", 0)
-            await self.send_request(each, f"v{version}")
-            if self.ledger.counts.get(f"v{version} 404", 0) > served:
+            attempt = self.new_attempt(f"v{version}", each)
+            await self.send_request(each, f"v{version}", attempt=attempt)
+            if self.ledger.statuses.get(attempt) == 404:
                 self.ledger.record_violation(
                     "a configuration is in force within its timeout",
                     f"{version} at {each.name}")
@@ -239,6 +240,11 @@
                  self.announce_leaving, self.turn_away, self.restore_store]
         return {each.__name__: each for each in kinds}
 
+    async def noted(self, fault):
+        self.note(f"{fault.__name__} begins")
+        await fault()
+        self.note(f"{fault.__name__} ends")
+
     async def faults(self):
         kinds = self.kinds()
         running = []
@@ -250,6 +256,6 @@
         end = self.now() + self.seconds
         while self.now() < end:
             await asyncio.sleep(self.random.uniform(.2, 1.2))
-            running.append(
-                asyncio.create_task(self.random.choice([*kinds.values()])()))
+            running.append(asyncio.create_task(
+                self.noted(self.random.choice([*kinds.values()]))))
         await asyncio.gather(*running)
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -21,11 +21,14 @@
     name: str
     term_s: float | None = None  # when SIGTERM was sent
     exit_s: float | None = None
+    # (index of a version, time at which an upstream saw that it is in force)
+    effects: list = dataclasses.field(default_factory=list)
 
 
 class Instance:
-    def __init__(self, name, zone, soak):
+    def __init__(self, name, zone, soak, starts=0):
         self.name = name
+        self.starts = starts  # each start takes the next one of the programs
         self.zone = zone
         self.soak = soak
         self.ports = {p: free_port() for p in
@@ -101,7 +104,8 @@
                    buffering=0)
         piped = self.soak.random.random() < .5
         self.log_pipe = pipe = LogPipe(log) if piped else None
-        program = os.path.join(self.soak.build, "papayaglade")
+        program = self.soak.programs[self.starts % len(self.soak.programs)]
+        self.starts += 1
         self.undisturbed_since = self.soak.now()
         self.stopping = self.killed = False
         self.lifetime = lifetime = Lifetime(self.name)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,10 +1,12 @@
 """Records what callers and upstreams saw and checks the guarantees."""
 
 import asyncio
+import time
 
 from .connection_owner import ConnectionOwners
 from .notices import Notices
 from .searcher import RECORD_BYTES, records_of, stamp_of
+from .versions import Versions
 
 
 # Upstreams of a service that a request may reach, as the routes of the soak
@@ -14,7 +16,7 @@
 
 class Ledger:
     def __init__(self, drain_timeout_s, close_timeout_s, searchers,
-                 in_touch):
+                 in_touch, in_touch_for=lambda request: False):
         self.searchers = searchers  # searcher id -> searcher, all ever started
         self.in_touch = in_touch  # of an instance, since a time
         self.drain_timeout_s = drain_timeout_s
@@ -34,15 +36,17 @@
         self.violations = []
         self.sent_s = {}        # attempt -> time at which its caller sent it
         self.owners = ConnectionOwners()
+        self.versions = Versions(in_touch_for, self.record_violation)
         self.notices = Notices(drain_timeout_s, self.sent_s,
                                self.record_violation)
         self.counts = {}
+        self.statuses = {}      # attempt -> status of its answer
 
     def count(self, event):
         self.counts[event] = self.counts.get(event, 0) + 1
 
     def record_violation(self, promise, text):
-        self.violations.append(f"{promise}: {text}")
+        self.violations.append(f"{promise}: {text}, at {time.time():.3f}")
 
     def record_call(self, call, message):
         self.calls.append(call)
@@ -80,6 +84,7 @@
         if kind == "book" and len(runs) > 1:
             self.record_violation("a booking runs at most once", attempt)
         self.check_upstreams(attempt, kind, searcher)
+        self.versions.check_run(searcher, attempt, now)
         if attempt in self.refused_attempts:
             self.record_violation("a request reported as not run did not run",
                                   f"{attempt} ran at {searcher.id}")
@@ -98,8 +103,9 @@
                                   f"{attempt} at {sorted(asked)}")
 
     def check_answer(self, attempt, kind, message, searchers):
-        status = message.status
+        status = self.statuses[attempt] = message.status
         self.count(f"{kind} {status}")
+        self.versions.check_answer(attempt, message)
         if status in (429, 503, 408, 421):
             self.refused_attempts.add(attempt)
             if kind == "book" and self.runs.get(attempt):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,11 +5,13 @@
 import random
 import signal
 import tempfile
+import time
 
 from .faults import CLOSE_TIMEOUT_S, STABLE_WINDOW_S, Faults
 from .http_text import read_message
 from .instance import ZONES, Instance
 from .ledger import Ledger
+from .operator import OTHER_SERVICE, Operator, Routes
 from .operator_faults import request_text
 from .ports import free_port
 from .searcher import Searcher
@@ -22,9 +24,11 @@
 KINDS = ["search"] * 6 + ["pull"] * 2 + ["book"] * 2 + ["once"]
 
 
-class Soak(Faults):
+class Soak(Faults, Operator):
     def __init__(self, arguments):
-        self.build = arguments.build
+        self.programs = [os.path.join(arguments.build, "papayaglade")]
+        if arguments.second_program:
+            self.programs.append(arguments.second_program)
         self.seconds = arguments.seconds
         self.random = random.Random(arguments.seed)
         self.folder = arguments.folder or tempfile.mkdtemp(prefix="soak-")
@@ -34,7 +38,8 @@
         self.instance_count = arguments.instances
         self.searchers = {}
         self.ledger = Ledger(self.drain_timeout_s, CLOSE_TIMEOUT_S,
-                             self.searchers, self.in_touch)
+                             self.searchers, self.in_touch,
+                             self.in_touch_for)
         self.only = arguments.only
         self.trap_port = free_port()  # at which nothing that is valid listens
         self.store = Store()
@@ -43,6 +48,7 @@
         self.route_timeout_s = 1.2
         self.instances = []
         self.version = 1
+        self.routes = Routes(arguments.seed)
         self.generation = 0
         self.shards = []
         self.next_request = 0
@@ -62,10 +68,10 @@
     def instance_extras(self):
         return {}
 
-    async def add_searcher(self, service, zone, port=None):
+    async def add_searcher(self, service, zone, port=None, seed=None):
         number = len(self.searchers)
         searcher = Searcher(f"i-{number}", service, zone, port or free_port(),
-                            self.random.random(), self.ledger,
+                            seed or self.random.random(), self.ledger,
                             **self.searcher_traits(service))
         await searcher.start()
         self.searchers[searcher.id] = searcher
@@ -91,6 +97,7 @@
     async def publish(self):
         self.version += self.random.randint(1, 3)
         self.ledger.shard_sets.append(list(self.shards))
+        self.routes.change(self.version)
 
         def route(name, **more):
             return {"name": name, "host": "shop.example",
@@ -105,17 +112,24 @@
                   route("book", type="non_idempotent", service="archive"),
                   route("once", type="idempotent", service="archive",
                         max_attempts=1),
-                  route(f"v{self.version}", type="idempotent",
-                        service="archive")]
+                  *(route(name, type="idempotent", service=service)
+                    for name, service in self.routes.all().items())]
         services = [{"name": name, "health_path": "/health",
                      "max_connections": 30, "protocol": "h1", "tls": False,
                      "warmup_s": 0, "warmup_per_s": 0}
-                    for name in [*self.shards, "archive"]]
+                    for name in [*self.shards, "archive", OTHER_SERVICE]]
+        number = self.version
+        version = self.ledger.versions.send(
+            number, {each["name"]: set(each.get("fanout_services")
+                                       or [each["service"]])
+                     for each in routes}, self.now())
         await self.store.put("config", "main", {
-            "version": self.version, "routes": routes, "services": services,
+            "version": number, "routes": routes, "services": services,
             "limits": {"idle_timeout_ms": 15000},
             **self.configuration_extras()})
-        return self.version
+        version.acked_s = self.now()
+        self.note(f"version {number} acknowledged")
+        return number
 
     def new_attempt(self, kind, instance=None):
         self.next_request += 1
@@ -123,6 +137,7 @@
         self.ledger.route_kinds[attempt] = kind
         self.ledger.senders[attempt] = instance
         self.ledger.sent_s[attempt] = self.now()
+        self.ledger.versions.add(attempt, kind, instance, self.now())
         return attempt
 
     def in_touch(self, instance, since_s):
@@ -131,9 +146,24 @@
             instance is None or
             instance.undisturbed_for(self.now() - since_s + STABLE_WINDOW_S))
 
-    async def send_request(self, instance, kind, connection=None):
+    def in_touch_for(self, request):
+        """Whether the instance that took a request was in touch, as the users'
+        rules have it, when it was sent and ever since."""
+        disturbed_s = max(self.store_available_since, self.store.lost_s)
+        return (self.store.outage is None
+                and disturbed_s <= request.sent_s - STABLE_WINDOW_S
+                and self.in_touch(request.instance, request.sent_s))
+
+    def note(self, text):
+        """Writes what the soak does, by the clock of the instances' logs."""
+        with open(os.path.join(self.folder, "soak.log"), "a") as log:
+            log.write(f"{time.time():.3f} {text}\n")
+
+    async def send_request(self, instance, kind, connection=None,
+                           attempt=None):
         """Sends a request; returns the connection if still open, else None."""
-        attempt, sent_s = self.new_attempt(kind, instance), self.now()
+        sent_s = self.now()
+        attempt = attempt or self.new_attempt(kind, instance)
         message = None
         try:
             if connection is None:
@@ -169,14 +199,14 @@
         return (calm and (instance.stopping or since_sent)
                 and bool(self.ledger.runs.get(attempt)))
 
-    async def caller(self, seed):
+    async def caller(self, seed, kinds=KINDS):
         rng = random.Random(seed)
         connection, instance = None, None
         while not self.finished:
             if connection is None:
                 up = [i for i in self.instances if i in self.rotation]
                 instance = rng.choice(up or self.instances)
-            kind = rng.choice(KINDS)
+            kind = rng.choice(kinds)
             connection = await self.send_request(instance, kind, connection)
             await asyncio.sleep(rng.uniform(0, .05))
 
@@ -188,8 +218,9 @@
             await asyncio.sleep(.2)
 
     def start_callers(self):
-        return [asyncio.create_task(self.caller(self.random.random()))
-                for _ in range(12)]
+        callers = [self.caller(self.random.random()) for _ in range(12)]
+        return [asyncio.create_task(each)
+                for each in [*callers, *self.operator_tasks()]]
 
     async def run(self):
         servers = [await self.store.serve(self.store_port),
@@ -199,8 +230,11 @@
         for _ in range(3):
             for zone in ZONES:
                 await self.add_searcher("archive", zone)
+        for zone in ZONES * 2:
+            await self.add_searcher(OTHER_SERVICE, zone,
+                                    seed=self.routes.random.random())
         await self.publish()
-        self.instances = [Instance(f"entry-{i}", ZONES[i % 2], self)
+        self.instances = [Instance(f"entry-{i}", ZONES[i % 2], self, i)
                           for i in range(self.instance_count)]
         self.ledger.owners.instances = self.instances
         relays = {each.ports["control"]: each.control_relay.port
@@ -229,6 +263,7 @@
                 await relay.stop()
         for each in servers:
             each.close()
+        self.ledger.counts["judged in touch"] = self.ledger.versions.judged
 
     async def until_ready(self, timeout_s=15):
         end = self.now() + timeout_s
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import math
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from .http_text import answer, read_message, reset
@@ -31,6 +32,7 @@
         self.outage = None  # None, "busy", "reset" or "silent"
         self.outage_ended = 0.0
         self.losing_kind = None  # the next answer to a watch on it is lost
+        self.lost_s = -math.inf  # when one was lost
         self.awaited_watches = {}  # kind -> event that its next watch sets
         self.oldest_revision = 100
         self.texts = {}  # placeholder of a spec -> its JSON text
@@ -41,10 +43,13 @@
 
     async def put(self, kind, name, spec, writer=USERS):
         async with self.changed:
-            self.revision += 1
-            entry = self.apply(self.record(writer, kind, name, spec))
-            self.history.append((self.revision, kind, entry, False))
-            self.changed.notify_all()
+            self.write(kind, name, spec, writer)
+
+    def write(self, kind, name, spec, writer=USERS):
+        self.revision += 1
+        entry = self.apply(self.record(writer, kind, name, spec))
+        self.history.append((self.revision, kind, entry, False))
+        self.changed.notify_all()
 
     def record(self, writer, kind, name, spec):
         now = asyncio.get_running_loop().time()
@@ -93,14 +98,15 @@
         lost = [key for key in self.theirs if self.lacks(key)]
         for key in lost:
             await asyncio.sleep(seconds / len(lost))
-            if self.era != era:
-                return
-            if not self.lacks(key):
-                continue
-            if self.theirs[key] is None:
-                await self.delete(*key)
-            else:
-                await self.put(*key, self.theirs[key])
+            async with self.changed:
+                if self.era != era:
+                    return
+                if not self.lacks(key):
+                    continue
+                if self.theirs[key] is None:
+                    self.remove(*key)
+                else:
+                    self.write(*key, self.theirs[key])
 
     async def put_text(self, kind, name, text):
         """Writes an object whose spec is any JSON text."""
@@ -116,14 +122,17 @@
 
     async def delete(self, kind, name, writer=USERS):
         async with self.changed:
-            if writer == USERS:
-                self.theirs[kind, name] = None
-            if (kind, name) not in self.objects:
-                return
-            self.revision += 1
-            entry = self.apply(self.record(writer, kind, name, None))
-            self.history.append((self.revision, kind, entry, True))
-            self.changed.notify_all()
+            self.remove(kind, name, writer)
+
+    def remove(self, kind, name, writer=USERS):
+        if writer == USERS:
+            self.theirs[kind, name] = None
+        if (kind, name) not in self.objects:
+            return
+        self.revision += 1
+        entry = self.apply(self.record(writer, kind, name, None))
+        self.history.append((self.revision, kind, entry, True))
+        self.changed.notify_all()
 
     def discard_history(self):
         self.history.clear()
@@ -224,6 +233,7 @@
         lost = body["events"] and self.losing_kind == kind
         if lost:
             self.losing_kind = None
+            self.lost_s = asyncio.get_running_loop().time()
         if lost or self.outage == "silent":
             await asyncio.sleep(3600)
         return self.answer(200, self.encode(body))
