--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,8 +26,8 @@
     parser.add_argument("--only", metavar="KIND",
                         help="`stops`, planned stops under checks of their "
                         "own, `large_changes`, large configurations, "
-                        "`stop_cases`, which have no seed, or one kind of "
-                        "fault (a method of Faults)")
+                        "`stop_cases`, which have no seed, or kinds of "
+                        "faults (methods of Faults), joined by commas")
     parser.add_argument("--case", choices=StopCases.names(),
                         help="the only one of `stop_cases` to run")
     parser.add_argument("--without", choices=StopCases.names(),
@@ -46,8 +46,8 @@
             "large_changes": LargeChanges}
     soak = runs.get(arguments.only, Soak)(arguments)
     if arguments.only not in (None, *runs) and (
-            arguments.only not in soak.kinds()):
-        parser.error(f"no fault is called {arguments.only}")
+            not soak.kinds().keys() >= set(arguments.only.split(","))):
+        parser.error(f"{arguments.only} names no fault, or not only faults")
     asyncio.run(soak.run())
     seed = f"seed {arguments.seed}"
     print(f"{seed}: {dict(sorted(soak.ledger.counts.items()))}")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -252,7 +252,7 @@
             # Goes on for most of a run, so it starts only once.
             running.append(asyncio.create_task(kinds.pop("reshard")()))
         else:
-            kinds = {self.only: kinds[self.only]}
+            kinds = {each: kinds[each] for each in self.only.split(",")}
         end = self.now() + self.seconds
         while self.now() < end:
             await asyncio.sleep(self.random.uniform(.2, 1.2))
