--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,9 +10,9 @@
 from .operator_faults import OperatorFaults
 from .restores import Restores
 from .store import OUTAGES
+from .versions import IN_FORCE_TIMEOUT_S
 
 CLOSE_TIMEOUT_S = 5.0
-IN_FORCE_TIMEOUT_S = 3.0
 STABLE_WINDOW_S = 4.0
 START_TIMEOUT_S = 8.0
 REPORT_INTERVAL_S = 1.2
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -19,6 +19,7 @@
 class Lifetime:
     """One start of an instance's process."""
     name: str
+    program: int = 0  # index among those of the soak
     term_s: float | None = None  # when SIGTERM was sent
     exit_s: float | None = None
     # (index of a version, time at which an upstream saw that it is in force)
@@ -104,13 +105,13 @@
                    buffering=0)
         piped = self.soak.random.random() < .5
         self.log_pipe = pipe = LogPipe(log) if piped else None
-        program = self.soak.programs[self.starts % len(self.soak.programs)]
+        program = self.starts % len(self.soak.programs)
         self.starts += 1
         self.undisturbed_since = self.soak.now()
         self.stopping = self.killed = False
-        self.lifetime = lifetime = Lifetime(self.name)
+        self.lifetime = lifetime = Lifetime(self.name, program)
         self.process = await asyncio.create_subprocess_exec(
-            program, "entry", "--settings", self.path,
+            self.soak.programs[program], "entry", "--settings", self.path,
             stdout=pipe.writer_end if pipe else log, stderr=log)
         if pipe:
             pipe.started()
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -30,7 +30,9 @@
     sent_s: float
 
     def at(self):
-        return self.instance.name if self.instance else "an instance"
+        if self.instance is None:
+            return "an instance"
+        return self.instance.name
 
     def of_one_process(self):
         return (self.instance is not None
@@ -48,6 +50,12 @@
         self.requests = {}       # attempt -> request
         self.judged = 0          # requests of which a handling was in touch
 
+    def violated(self, rule, request, text):
+        second = request.lifetime and request.lifetime.program
+        self.record_violation(
+            rule + " by the second program" * bool(second),
+            f"{request.attempt} {request.route} at {request.at()}: {text}")
+
     def send(self, number, routes, now):
         """Records a version that is about to be written."""
         version = Version(number, routes, now)
@@ -78,8 +86,7 @@
             return
         first = self.first_allowed.get((request.route, service))
         if first is None:
-            return self.record_violation(
-                "ROUTE", f"{attempt} {request.route} at {service}")
+            return self.violated("ROUTE", request, f"run by {service}")
         self.check_handling(
             request, f"run by {service}",
             lambda version: service in version.routes.get(request.route, ()))
@@ -105,9 +112,8 @@
         versions = (self.in_force_since(request.sent_s) if in_touch
                     else self.versions)
         if all(request.route in each.routes for each in versions):
-            self.record_violation(
-                "DENIED", f"{request.attempt} {request.route} at "
-                f"{request.at()}: {status}, allowed by versions "
+            self.violated(
+                "DENIED", request, f"{status}, allowed by versions "
                 f"{versions[0].number} to {versions[-1].number}, "
                 + ("in touch" if in_touch else "not in touch"))
 
@@ -118,10 +124,9 @@
             versions = self.in_force_since(request.sent_s)
             if not any(map(allows, versions)):
                 late_s = request.sent_s - versions[0].acked_s
-                self.record_violation(
-                    "CONFIG", f"{request.attempt} {request.route} at "
-                    f"{request.at()}: {how}, sent {late_s:.2f} s after the "
-                    f"acknowledgement of version {versions[0].number}")
+                self.violated(
+                    "CONFIG", request, f"{how}, sent {late_s:.2f} s after "
+                    f"version {versions[0].number} was acknowledged")
         if request.of_one_process():
             self.check_regress(request, how, allows)
 
@@ -133,9 +138,8 @@
             if request.sent_s <= seen_s + slack_s:
                 continue
             if not any(map(allows, self.versions[index:])):
-                self.record_violation(
-                    "CONFIG, a regress", f"{request.attempt} {request.route} "
-                    f"at {request.at()}: {how}, sent "
+                self.violated(
+                    "CONFIG, a regress", request, f"{how}, sent "
                     f"{request.sent_s - seen_s:.2f} s after version "
                     f"{self.versions[index].number} was seen")
             return
