Write no searcher of the soak as ready again once it has left

Both faults are injected as before, and what reaches the searcher after its leaving is judged as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -80,6 +80,7 @@
             if len(live) < 4:
                 return
             victim = self.random.choice(live)
+        victim.leaves = True
         way = self.random.choice(["drain", "drain_cold", "delete", "delete"])
         if way == "delete":
             await self.store.delete("servers", victim.id)
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -112,11 +112,18 @@
             await asyncio.sleep(REPUBLISH_INTERVAL_S)
             for each in victims:
                 each.sequence += 1
-                await self.store.put("servers", each.id, each.entry())
+                await self.put_ready(each)
         for each in victims:
             each.announces = False
-            each.born += 1
-            await self.store.put("servers", each.id, each.entry())
+            if not each.leaves:
+                each.born += 1
+            await self.put_ready(each)
+
+    async def put_ready(self, searcher):
+        """Writes the entry of a searcher, unless that one leaves by its entry
+        meanwhile."""
+        if not searcher.leaves:
+            await self.store.put("servers", searcher.id, searcher.entry())
 
     async def turn_away(self):
         """Searchers turn requests away and name a time to come back, or
--- a/tests/soak/searcher.py
+++ b/tests/soak/searcher.py
@@ -44,6 +44,7 @@
         self.senders = {}  # connection -> instance
         self.born = 1700000000000 + port
         self.sequence = 0
+        self.leaves = False      # its entry is not written as ready again
         self.announces = False   # says in all its answers that it leaves
         self.retry_after = None  # turns requests away with this value
 
