--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from .notices import NoticeFaults
 from .operator_faults import OperatorFaults
 from .restores import Restores
-from .store import OUTAGES
+from .store import OUTAGES, REFUSALS
 from .versions import IN_FORCE_TIMEOUT_S
 
 CLOSE_TIMEOUT_S = 5.0
@@ -191,6 +191,22 @@
         victim = self.random.choice(self.instances)
         await self.inject_relay_fault(victim.store_relay, victim)
 
+    async def refuse_some(self):
+        """The store refuses the calls of some instances, and serves others."""
+        if any(each.store_relay.target == self.refusal_port
+               for each in self.instances):
+            return
+        victims = self.random.sample(
+            self.instances, self.random.randint(1, len(self.instances) - 1))
+        self.store.refusal = self.random.choice(REFUSALS)
+        for each in victims:
+            each.begin_fault()
+            each.store_relay.lead_to(self.refusal_port)
+        await asyncio.sleep(self.random.uniform(.2, 4))
+        for each in victims:
+            each.store_relay.lead_to(self.store_port)
+            each.end_fault()
+
     async def control_link(self):
         """Disturbs the links of other instances to this instance, which may be
         their source."""
@@ -238,7 +254,8 @@
                  self.odd_entry, self.pipeline, self.hup_storm,
                  self.rewrite_settings, self.config_storm, self.stall_log,
                  self.close_log, self.stop_without_store, self.reshard,
-                 self.announce_leaving, self.turn_away, self.restore_store]
+                 self.announce_leaving, self.turn_away, self.restore_store,
+                 self.refuse_some]
         return {each.__name__: each for each in kinds}
 
     async def noted(self, fault):
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -61,6 +61,11 @@
             for each in pair:
                 reset(each)
 
+    def lead_to(self, port):
+        """Ends all connections; new ones lead to another port."""
+        self.target = port
+        self.reset()
+
     def silence(self):
         """Drops all further bytes of open connections; new connections work."""
         self.silenced.update(id(pair) for pair in self.pairs)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,6 +44,7 @@
         self.trap_port = free_port()  # at which nothing that is valid listens
         self.store = Store()
         self.store_port = free_port()
+        self.refusal_port = free_port()
         self.shard_count = SHARDS
         self.route_timeout_s = 1.2
         self.instances = []
@@ -224,6 +225,7 @@
 
     async def run(self):
         servers = [await self.store.serve(self.store_port),
+                   await self.store.serve_refusals(self.refusal_port),
                    await asyncio.start_server(self.trap, "127.0.0.1",
                                               self.trap_port)]
         self.shards = await self.new_shards()
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -9,6 +9,7 @@
 from .http_text import answer, read_message, reset
 
 OUTAGES = ["busy", "reset", "silent"]
+REFUSALS = [429, 503, "reset", "silent"]
 USERS, SYSTEM = "users", "system"  # who writes: those of the platform, or us
 
 
@@ -31,6 +32,7 @@
         self.changed = asyncio.Condition()
         self.outage = None  # None, "busy", "reset" or "silent"
         self.outage_ended = 0.0
+        self.refusal = 503  # of the calls of some instances: REFUSALS
         self.losing_kind = None  # the next answer to a watch on it is lost
         self.lost_s = -math.inf  # when one was lost
         self.awaited_watches = {}  # kind -> event that its next watch sets
@@ -141,6 +143,19 @@
     async def serve(self, port):
         return await asyncio.start_server(self.connection, "127.0.0.1", port)
 
+    async def serve_refusals(self, port):
+        """Refuses all calls, or does not answer them, by `refusal`."""
+        async def connection(reader, writer):
+            while await read_message(reader) is not None:
+                if self.refusal == "silent":
+                    continue
+                if self.refusal == "reset":
+                    return reset(writer)
+                writer.write(self.answer(self.refusal))
+            writer.close()
+
+        return await asyncio.start_server(connection, "127.0.0.1", port)
+
     async def connection(self, reader, writer):
         try:
             while (message := await read_message(reader)) is not None:
