--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -29,7 +29,7 @@
         self.revision = 100
         self.objects = {}
         self.history = []
-        self.changed = asyncio.Condition()
+        self.waiting = set()  # futures of watches that wait for a change
         self.outage = None  # None, "busy", "reset" or "silent"
         self.outage_ended = 0.0
         self.refusal = 503  # of the calls of some instances: REFUSALS
@@ -44,14 +44,25 @@
         self.theirs = {}  # what the users have written last, None if deleted
 
     async def put(self, kind, name, spec, writer=USERS):
-        async with self.changed:
-            self.write(kind, name, spec, writer)
+        self.write(kind, name, spec, writer)
 
     def write(self, kind, name, spec, writer=USERS):
         self.revision += 1
         entry = self.apply(self.record(writer, kind, name, spec))
         self.history.append((self.revision, kind, entry, False))
-        self.changed.notify_all()
+        self.wake_watches()
+
+    def wake_watches(self):
+        for each in self.waiting:
+            if not each.done():
+                each.set_result(None)
+
+    async def changed(self, timeout_s):
+        """Waits for a change, or until the time is over."""
+        change = asyncio.get_running_loop().create_future()
+        self.waiting.add(change)
+        await asyncio.wait([change], timeout=timeout_s)
+        self.waiting.discard(change)
 
     def record(self, writer, kind, name, spec):
         now = asyncio.get_running_loop().time()
@@ -73,19 +84,17 @@
 
     async def load_copy(self, age_s):
         """Goes back to what was written until some seconds ago, in a new era."""
-        async with self.changed:
-            until_s = asyncio.get_running_loop().time() - age_s
-            self.writes = [each for each in self.writes
-                           if each.at_s <= until_s]
-            self.objects = {}
-            for each in self.writes:
-                self.apply(each)
-            self.revision = self.writes[-1].revision if self.writes else 100
-            self.oldest_revision = min(self.oldest_revision, self.revision)
-            self.history = [each for each in self.history
-                            if each[0] <= self.revision]
-            self.era += 1
-            self.changed.notify_all()
+        until_s = asyncio.get_running_loop().time() - age_s
+        self.writes = [each for each in self.writes if each.at_s <= until_s]
+        self.objects = {}
+        for each in self.writes:
+            self.apply(each)
+        self.revision = self.writes[-1].revision if self.writes else 100
+        self.oldest_revision = min(self.oldest_revision, self.revision)
+        self.history = [each for each in self.history
+                        if each[0] <= self.revision]
+        self.era += 1
+        self.wake_watches()
 
     def lacks(self, key):
         """Whether the object is not as the users have written it last."""
@@ -100,15 +109,14 @@
         lost = [key for key in self.theirs if self.lacks(key)]
         for key in lost:
             await asyncio.sleep(seconds / len(lost))
-            async with self.changed:
-                if self.era != era:
-                    return
-                if not self.lacks(key):
-                    continue
-                if self.theirs[key] is None:
-                    self.remove(*key)
-                else:
-                    self.write(*key, self.theirs[key])
+            if self.era != era:
+                return
+            if not self.lacks(key):
+                continue
+            if self.theirs[key] is None:
+                self.remove(*key)
+            else:
+                self.write(*key, self.theirs[key])
 
     async def put_text(self, kind, name, text):
         """Writes an object whose spec is any JSON text."""
@@ -123,8 +131,7 @@
         return data
 
     async def delete(self, kind, name, writer=USERS):
-        async with self.changed:
-            self.remove(kind, name, writer)
+        self.remove(kind, name, writer)
 
     def remove(self, kind, name, writer=USERS):
         if writer == USERS:
@@ -134,7 +141,7 @@
         self.revision += 1
         entry = self.apply(self.record(writer, kind, name, None))
         self.history.append((self.revision, kind, entry, True))
-        self.changed.notify_all()
+        self.wake_watches()
 
     def discard_history(self):
         self.history.clear()
@@ -235,16 +242,13 @@
                     for at, k, entry, gone in self.history
                     if at > since and k == kind]
 
-        async with self.changed:
-            try:
-                await asyncio.wait_for(
-                    self.changed.wait_for(lambda: self.era != era or events()),
-                    wait_ms / 1000)
-            except asyncio.TimeoutError:
-                pass
-            if self.era != era:
-                return None  # the connection ends with the store's process
-            body = {"events": events(), "at": self.revision}
+        end = asyncio.get_running_loop().time() + wait_ms / 1000
+        while (self.era == era and not events()
+               and (left_s := end - asyncio.get_running_loop().time()) > 0):
+            await self.changed(left_s)
+        if self.era != era:
+            return None  # the connection ends with the store's process
+        body = {"events": events(), "at": self.revision}
         lost = body["events"] and self.losing_kind == kind
         if lost:
             self.losing_kind = None
