--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -258,6 +258,13 @@
                  self.refuse_some]
         return {each.__name__: each for each in kinds}
 
+    async def restore_once(self):
+        """Restores the store at some time of a run of all faults."""
+        await asyncio.sleep(self.routes.random.uniform(2, self.seconds))
+        while self.store.outage:
+            await asyncio.sleep(.1)
+        await self.noted(self.restore_store)
+
     async def noted(self, fault):
         self.note(f"{fault.__name__} begins")
         await fault()
@@ -269,6 +276,7 @@
         if self.only is None:
             # Goes on for most of a run, so it starts only once.
             running.append(asyncio.create_task(kinds.pop("reshard")()))
+            running.append(asyncio.create_task(self.restore_once()))
         else:
             kinds = {each: kinds[each] for each in self.only.split(",")}
         end = self.now() + self.seconds
