--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import collections
 import sys
 
 from .large_changes import LargeChanges
@@ -25,8 +26,8 @@
     parser.add_argument("--only", metavar="KIND",
                         help="`stops`, planned stops under checks of their "
                         "own, `large_changes`, large configurations, "
-                        "`stop_cases`, which have no seed, or one kind of "
-                        "fault (a method of Faults)")
+                        "`stop_cases`, which have no seed, or kinds of "
+                        "faults (methods of Faults), joined by commas")
     parser.add_argument("--case", choices=StopCases.names(),
                         help="the only one of `stop_cases` to run")
     parser.add_argument("--without", choices=StopCases.names(),
@@ -37,16 +38,22 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--instances", type=int, default=6)
     parser.add_argument("--folder")
+    parser.add_argument("--second-program", metavar="PATH",
+                        help="a program of another version that every other "
+                        "instance runs; each restart takes the other one")
     arguments = parser.parse_args()
     runs = {"stops": Stops, "stop_cases": StopCases,
             "large_changes": LargeChanges}
     soak = runs.get(arguments.only, Soak)(arguments)
     if arguments.only not in (None, *runs) and (
-            arguments.only not in soak.kinds()):
-        parser.error(f"no fault is called {arguments.only}")
+            not soak.kinds().keys() >= set(arguments.only.split(","))):
+        parser.error(f"{arguments.only} names no fault, or not only faults")
     asyncio.run(soak.run())
     seed = f"seed {arguments.seed}"
     print(f"{seed}: {dict(sorted(soak.ledger.counts.items()))}")
+    promises = (each.split(":")[0] for each in soak.ledger.violations)
+    for promise, count in collections.Counter(promises).items():
+        print(f"{seed}: {count} times violated: {promise}")
     for each in soak.ledger.violations[:SHOWN_VIOLATIONS]:
         print(f"{seed}: violated: {each}")
     if soak.ledger.violations:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,10 +9,10 @@
 from .notices import NoticeFaults
 from .operator_faults import OperatorFaults
 from .restores import Restores
-from .store import OUTAGES
+from .store import OUTAGES, REFUSALS
+from .versions import IN_FORCE_TIMEOUT_S
 
 CLOSE_TIMEOUT_S = 5.0
-IN_FORCE_TIMEOUT_S = 3.0
 STABLE_WINDOW_S = 4.0
 START_TIMEOUT_S = 8.0
 REPORT_INTERVAL_S = 1.2
@@ -80,6 +80,7 @@
             if len(live) < 4:
                 return
             victim = self.random.choice(live)
+        victim.leaves = True
         way = self.random.choice(["drain", "drain_cold", "delete", "delete"])
         if way == "delete":
             await self.store.delete("servers", victim.id)
@@ -145,13 +146,14 @@
     async def check_in_force(self, version, acked_s):
         for each in list(self.instances):
             elapsed_s = self.now() - acked_s
-            if not self.store_is_stable() or self.version != version:
+            if (not self.store_is_stable()
+                    or f"v{version}" not in self.routes.named):
                 continue
             if not each.undisturbed_for(elapsed_s + STABLE_WINDOW_S):
                 continue
-            served = self.ledger.counts.get(f"v{version} 404", 0)
-            await self.send_request(each, f"v{version}")
-            if self.ledger.counts.get(f"v{version} 404", 0) > served:
+            attempt = self.new_attempt(f"v{version}", each)
+            await self.send_request(each, f"v{version}", attempt=attempt)
+            if self.ledger.statuses.get(attempt) == 404:
                 self.ledger.record_violation(
                     "a configuration is in force within its timeout",
                     f"{version} at {each.name}")
@@ -189,6 +191,22 @@
         victim = self.random.choice(self.instances)
         await self.inject_relay_fault(victim.store_relay, victim)
 
+    async def refuse_some(self):
+        """The store refuses the calls of some instances, and serves others."""
+        if any(each.store_relay.target == self.refusal_port
+               for each in self.instances):
+            return
+        victims = self.random.sample(
+            self.instances, self.random.randint(1, len(self.instances) - 1))
+        self.store.refusal = self.random.choice(REFUSALS)
+        for each in victims:
+            each.begin_fault()
+            each.store_relay.lead_to(self.refusal_port)
+        await asyncio.sleep(self.random.uniform(.2, 4))
+        for each in victims:
+            each.store_relay.lead_to(self.store_port)
+            each.end_fault()
+
     async def control_link(self):
         """Disturbs the links of other instances to this instance, which may be
         their source."""
@@ -236,20 +254,34 @@
                  self.odd_entry, self.pipeline, self.hup_storm,
                  self.rewrite_settings, self.config_storm, self.stall_log,
                  self.close_log, self.stop_without_store, self.reshard,
-                 self.announce_leaving, self.turn_away, self.restore_store]
+                 self.announce_leaving, self.turn_away, self.restore_store,
+                 self.refuse_some]
         return {each.__name__: each for each in kinds}
 
+    async def restore_once(self):
+        """Restores the store at some time of a run of all faults."""
+        await asyncio.sleep(self.routes.random.uniform(2, self.seconds))
+        while self.store.outage:
+            await asyncio.sleep(.1)
+        await self.noted(self.restore_store)
+
+    async def noted(self, fault):
+        self.note(f"{fault.__name__} begins")
+        await fault()
+        self.note(f"{fault.__name__} ends")
+
     async def faults(self):
         kinds = self.kinds()
         running = []
         if self.only is None:
             # Goes on for most of a run, so it starts only once.
             running.append(asyncio.create_task(kinds.pop("reshard")()))
+            running.append(asyncio.create_task(self.restore_once()))
         else:
-            kinds = {self.only: kinds[self.only]}
+            kinds = {each: kinds[each] for each in self.only.split(",")}
         end = self.now() + self.seconds
         while self.now() < end:
             await asyncio.sleep(self.random.uniform(.2, 1.2))
-            running.append(
-                asyncio.create_task(self.random.choice([*kinds.values()])()))
+            running.append(asyncio.create_task(
+                self.noted(self.random.choice([*kinds.values()]))))
         await asyncio.gather(*running)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -3,11 +3,13 @@
 
 import asyncio
 import json
+import math
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from .http_text import answer, read_message, reset
 
 OUTAGES = ["busy", "reset", "silent"]
+REFUSALS = [429, 503, "reset", "silent"]
 USERS, SYSTEM = "users", "system"  # who writes: those of the platform, or us
 
 
@@ -27,10 +29,12 @@
         self.revision = 100
         self.objects = {}
         self.history = []
-        self.changed = asyncio.Condition()
+        self.waiting = set()  # futures of watches that wait for a change
         self.outage = None  # None, "busy", "reset" or "silent"
         self.outage_ended = 0.0
+        self.refusal = 503  # of the calls of some instances: REFUSALS
         self.losing_kind = None  # the next answer to a watch on it is lost
+        self.lost_s = -math.inf  # when one was lost
         self.awaited_watches = {}  # kind -> event that its next watch sets
         self.oldest_revision = 100
         self.texts = {}  # placeholder of a spec -> its JSON text
@@ -40,11 +44,25 @@
         self.theirs = {}  # what the users have written last, None if deleted
 
     async def put(self, kind, name, spec, writer=USERS):
-        async with self.changed:
-            self.revision += 1
-            entry = self.apply(self.record(writer, kind, name, spec))
-            self.history.append((self.revision, kind, entry, False))
-            self.changed.notify_all()
+        self.write(kind, name, spec, writer)
+
+    def write(self, kind, name, spec, writer=USERS):
+        self.revision += 1
+        entry = self.apply(self.record(writer, kind, name, spec))
+        self.history.append((self.revision, kind, entry, False))
+        self.wake_watches()
+
+    def wake_watches(self):
+        for each in self.waiting:
+            if not each.done():
+                each.set_result(None)
+
+    async def changed(self, timeout_s):
+        """Waits for a change, or until the time is over."""
+        change = asyncio.get_running_loop().create_future()
+        self.waiting.add(change)
+        await asyncio.wait([change], timeout=timeout_s)
+        self.waiting.discard(change)
 
     def record(self, writer, kind, name, spec):
         now = asyncio.get_running_loop().time()
@@ -66,19 +84,17 @@
 
     async def load_copy(self, age_s):
         """Goes back to what was written until some seconds ago, in a new era."""
-        async with self.changed:
-            until_s = asyncio.get_running_loop().time() - age_s
-            self.writes = [each for each in self.writes
-                           if each.at_s <= until_s]
-            self.objects = {}
-            for each in self.writes:
-                self.apply(each)
-            self.revision = self.writes[-1].revision if self.writes else 100
-            self.oldest_revision = min(self.oldest_revision, self.revision)
-            self.history = [each for each in self.history
-                            if each[0] <= self.revision]
-            self.era += 1
-            self.changed.notify_all()
+        until_s = asyncio.get_running_loop().time() - age_s
+        self.writes = [each for each in self.writes if each.at_s <= until_s]
+        self.objects = {}
+        for each in self.writes:
+            self.apply(each)
+        self.revision = self.writes[-1].revision if self.writes else 100
+        self.oldest_revision = min(self.oldest_revision, self.revision)
+        self.history = [each for each in self.history
+                        if each[0] <= self.revision]
+        self.era += 1
+        self.wake_watches()
 
     def lacks(self, key):
         """Whether the object is not as the users have written it last."""
@@ -98,9 +114,9 @@
             if not self.lacks(key):
                 continue
             if self.theirs[key] is None:
-                await self.delete(*key)
+                self.remove(*key)
             else:
-                await self.put(*key, self.theirs[key])
+                self.write(*key, self.theirs[key])
 
     async def put_text(self, kind, name, text):
         """Writes an object whose spec is any JSON text."""
@@ -115,15 +131,17 @@
         return data
 
     async def delete(self, kind, name, writer=USERS):
-        async with self.changed:
-            if writer == USERS:
-                self.theirs[kind, name] = None
-            if (kind, name) not in self.objects:
-                return
-            self.revision += 1
-            entry = self.apply(self.record(writer, kind, name, None))
-            self.history.append((self.revision, kind, entry, True))
-            self.changed.notify_all()
+        self.remove(kind, name, writer)
+
+    def remove(self, kind, name, writer=USERS):
+        if writer == USERS:
+            self.theirs[kind, name] = None
+        if (kind, name) not in self.objects:
+            return
+        self.revision += 1
+        entry = self.apply(self.record(writer, kind, name, None))
+        self.history.append((self.revision, kind, entry, True))
+        self.wake_watches()
 
     def discard_history(self):
         self.history.clear()
@@ -132,6 +150,19 @@
     async def serve(self, port):
         return await asyncio.start_server(self.connection, "127.0.0.1", port)
 
+    async def serve_refusals(self, port):
+        """Refuses all calls, or does not answer them, by `refusal`."""
+        async def connection(reader, writer):
+            while await read_message(reader) is not None:
+                if self.refusal == "silent":
+                    continue
+                if self.refusal == "reset":
+                    return reset(writer)
+                writer.write(self.answer(self.refusal))
+            writer.close()
+
+        return await asyncio.start_server(connection, "127.0.0.1", port)
+
     async def connection(self, reader, writer):
         try:
             while (message := await read_message(reader)) is not None:
@@ -211,19 +242,17 @@
                     for at, k, entry, gone in self.history
                     if at > since and k == kind]
 
-        async with self.changed:
-            try:
-                await asyncio.wait_for(
-                    self.changed.wait_for(lambda: self.era != era or events()),
-                    wait_ms / 1000)
-            except asyncio.TimeoutError:
-                pass
-            if self.era != era:
-                return None  # the connection ends with the store's process
-            body = {"events": events(), "at": self.revision}
+        end = asyncio.get_running_loop().time() + wait_ms / 1000
+        while (self.era == era and not events()
+               and (left_s := end - asyncio.get_running_loop().time()) > 0):
+            await self.changed(left_s)
+        if self.era != era:
+            return None  # the connection ends with the store's process
+        body = {"events": events(), "at": self.revision}
         lost = body["events"] and self.losing_kind == kind
         if lost:
             self.losing_kind = None
+            self.lost_s = asyncio.get_running_loop().time()
         if lost or self.outage == "silent":
             await asyncio.sleep(3600)
         return self.answer(200, self.encode(body))
