--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,6 +3,7 @@
     python3 -m soak [--only KIND] --build build --seed 7 --seconds 20
     python3 -m soak --only stop_cases [--case NAME | --without NAME] \\
         --build build
+    python3 -m soak --only restore_cases [--case NAME] --build build --seed 1
 
 Exits with 1 when a guarantee was violated; the logs of the instances stay in
 the folder.
@@ -13,6 +14,7 @@
 import sys
 
 from .large_changes import LargeChanges
+from .restore_cases import RestoreCases
 from .soak import Soak
 from .stop_cases import StopCases
 from .stops import Stops
@@ -25,10 +27,12 @@
     parser.add_argument("--only", metavar="KIND",
                         help="`stops`, planned stops under checks of their "
                         "own, `large_changes`, large configurations, "
-                        "`stop_cases`, which have no seed, or one kind of "
-                        "fault (a method of Faults)")
-    parser.add_argument("--case", choices=StopCases.names(),
-                        help="the only one of `stop_cases` to run")
+                        "`stop_cases`, which have no seed, "
+                        "`restore_cases`, restores of the store, or one kind "
+                        "of fault (a method of Faults)")
+    parser.add_argument("--case", choices=StopCases.names() + RestoreCases.names(),
+                        help="the only one of `stop_cases` or `restore_cases` "
+                        "to run")
     parser.add_argument("--without", choices=StopCases.names(),
                         help="the one of `stop_cases` to leave out, because it "
                         "runs by itself")
@@ -39,7 +43,7 @@
     parser.add_argument("--folder")
     arguments = parser.parse_args()
     runs = {"stops": Stops, "stop_cases": StopCases,
-            "large_changes": LargeChanges}
+            "large_changes": LargeChanges, "restore_cases": RestoreCases}
     soak = runs.get(arguments.only, Soak)(arguments)
     if arguments.only not in (None, *runs) and (
             arguments.only not in soak.kinds()):
