--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "app/answer_era.h"
 #include "protocol/mirror_codec.h"
 
 namespace papayaglade {
@@ -293,8 +294,7 @@
 
 http_exchange_channel::result instance_registry::InKnownEra(
     http_exchange_channel::result result) {
-  if (result.failure.has_value()) return result;
-  if (era_.Observe(format_.DecodeEra(result.message)) == era_relation::kOlder) {
+  if (IsOfOlderEra(result, format_, era_)) {
     result.failure = channel_failure::kBroken;
     result.why = "an older era";
   }
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "app/answer_era.h"
+
 namespace papayaglade {
 
 namespace {
@@ -115,8 +117,7 @@
                           const http_exchange_channel::result& result) {
   if (result.failure.has_value()) return OnNoAnswer(completed, result);
   EndCall();
-  const era_relation era = era_.Observe(format_.DecodeEra(result.message));
-  if (era == era_relation::kOlder)
+  if (IsOfOlderEra(result, format_, era_))
     return HandleUnusableFailure(unused_reason::kOlderEra, "an older era");
   OnAnswer(completed, result.message);
 }
