Begin the count of instances again after a page that cannot be read

What operators would see: an instance goes on counting for ever and keeps the number of instances from before, or the least number that it takes at its start, so its shares of limits are wrong.

Now the next call asks for the first page, at the same pace. Silence and refusals still go on from the same page.

Evidence: "a count whose later page cannot be read begins again" failed on the commit before and passes.

--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -206,6 +206,11 @@
        });
 }
 
+void instance_registry::BeginCount() {
+  members_.clear();
+  list_after_.clear();
+}
+
 void instance_registry::ScheduleCount(milliseconds delay) {
   if (count_timer_.has_value()) loop_.Cancel(*count_timer_);
   count_timer_ = loop_.ScheduleAfter(delay, [this](monotonic_time) {
@@ -237,12 +242,13 @@
             .With("kept",
                   static_cast<std::int64_t>(
                       last_position_.value_or(fleet_position()).instances)));
+    // The same page would be answered alike.
+    if (answered || result.failure == channel_failure::kTooLarge) BeginCount();
     return ScheduleCount(kRecountDelay);
   }
   // The pages before were of another era.
   if (!list_after_.empty() && era != era_.Known()) {
-    members_.clear();
-    list_after_.clear();
+    BeginCount();
     return Count();
   }
   for (const stored_object& each : page->objects) {
--- a/src/app/instance_registry.h
+++ b/src/app/instance_registry.h
@@ -71,6 +71,8 @@
   /// again unless it is leaving.
   void Unregister();
   void Count();
+  /// Makes the next call of a count ask for the first page.
+  void BeginCount();
   void ScheduleCount(std::chrono::milliseconds delay);
   /// Returns the delay of the next count after a complete one.
   std::chrono::milliseconds NextCountDelay();
--- a/tests/unit/instance_registry_test.cc
+++ b/tests/unit/instance_registry_test.cc
@@ -74,6 +74,29 @@
 
 }  // namespace
 
+// Guards against an instance that asks for the same page of the instances for
+// ever and never counts them.
+TEST_CASE("a count whose later page cannot be read begins again",
+          "[registry][vain]") {
+  using part = store_standin::read_call::part;
+  loop_context loop;
+  store_standin store(loop);
+  PutOthers(store, 2);
+  store.SetLaterPages(store_standin::later_pages::kEmpty);
+  const auto first_pages = [&] {
+    return std::count_if(
+        store.Reads().begin(), store.Reads().end(),
+        [](const auto& each) { return each.asked == part::kFirstPage; });
+  };
+  store.SetAnswerEdit([&](const auto& call, const std::string& answer) {
+    const bool spoilt = call.asked == part::kLaterPage && first_pages() == 1;
+    return spoilt ? store.Answer(200, "{") : answer;
+  });
+  registered_instance instance(loop, store.Address(), "entry-1");
+  instance.registry.Start();
+  CHECK(RunUntil(loop, [&] { return !instance.counts.empty(); }));
+}
+
 // Guards against instances that each count one instance, because a restored
 // store has lost their entries and none writes its entry again: cold upstreams
 // then get the requests of all instances at once (review/13).
