Call an answer that is too large a broken one again

"bytes without end break the channel" and "no part of an invalid answer is taken as an answer" fail since, each time: an answer above 8 MB, or with such a length, had a failure of its own in place of kBroken. Callers of kBroken were not affected, as all others than kNotConnected are treated alike; the tests say what the channel promises, so the channel changes.

Now the failure is kBroken, and the result says besides that the body was too large, which the feeds and the count of instances ask.

--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -243,7 +243,7 @@
                   static_cast<std::int64_t>(
                       last_position_.value_or(fleet_position()).instances)));
     // The same page would be answered alike.
-    if (answered || result.failure == channel_failure::kTooLarge) BeginCount();
+    if (answered || result.too_large) BeginCount();
     return ScheduleCount(kRecountDelay);
   }
   // The pages before were of another era.
--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -126,7 +126,7 @@
 // over connections that break. A watch brings more and more instead.
 void store_feed::OnNoAnswer(const feed_plan::call& completed,
                             const http_exchange_channel::result& result) {
-  if (result.failure == channel_failure::kTooLarge)
+  if (result.too_large)
     return HandleUnusableFailure(unused_reason::kTooLarge, result.why);
   const bool cut_watch = result.has_head && !completed.is_list;
   HandleFailure(result.why, OriginOfSilence(),
--- a/src/transport/http_exchange_channel.cc
+++ b/src/transport/http_exchange_channel.cc
@@ -131,7 +131,7 @@
       return Fail(channel_failure::kBroken, "bytes without end");
     }
     if (failed == http::error::body_limit)
-      return Fail(channel_failure::kTooLarge, "answer too large");
+      return Fail(channel_failure::kBroken, "answer too large", true);
     if (failed) return Fail(channel_failure::kBroken, "not an HTTP answer");
     if (!parser_->is_done()) continue;
     if (!IsUnderstood(parser_->get())) {
@@ -173,13 +173,15 @@
   done(std::move(finished));
 }
 
-void http_exchange_channel::Fail(channel_failure failure, const char* why) {
+void http_exchange_channel::Fail(channel_failure failure, const char* why,
+                                 bool too_large) {
   const exchange_handler done = std::exchange(done_, nullptr);
   const auto self = shared_from_this();
   Close();
   result failed;
   failed.failure = failure;
   failed.why = why;
+  failed.too_large = too_large;
   if (parser_.has_value() && parser_->is_header_done()) {
     failed.message.base() = parser_->get().base();
     failed.has_head = true;
--- a/src/transport/http_exchange_channel.h
+++ b/src/transport/http_exchange_channel.h
@@ -21,7 +21,6 @@
 enum class channel_failure {
   kNotConnected,  ///< The connect failed; no byte was sent.
   kBroken,        ///< The connection ended, or the answer is not valid HTTP.
-  kTooLarge,      ///< The body exceeds what is read of one answer.
 };
 
 /// An HTTP/1.1 client connection that runs one exchange at a time. Bytes that
@@ -34,6 +33,8 @@
     /// The failure; empty if `message` is complete.
     std::optional<channel_failure> failure;
     const char* why = "";  ///< Describes `failure`.
+    /// The failure is that the body exceeds what is read of one answer.
+    bool too_large = false;
     /// The answer; after a failure at most its head.
     upstream_message message;
     /// The head of the answer has been received.
@@ -76,7 +77,7 @@
   void OnBytes(std::string_view bytes);
   void OnEnd(boost::system::error_code failed);
   void Complete();
-  void Fail(channel_failure failure, const char* why);
+  void Fail(channel_failure failure, const char* why, bool too_large = false);
   /// Counts the received bytes that are kept against the memory.
   void CountMemory();
   void ReleaseMemory();
