--- a/src/app/instance_registry.cc
+++ b/src/app/instance_registry.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "app/answer_era.h"
 #include "protocol/mirror_codec.h"
 
 namespace papayaglade {
@@ -205,6 +206,11 @@
        });
 }
 
+void instance_registry::BeginCount() {
+  members_.clear();
+  list_after_.clear();
+}
+
 void instance_registry::ScheduleCount(milliseconds delay) {
   if (count_timer_.has_value()) loop_.Cancel(*count_timer_);
   count_timer_ = loop_.ScheduleAfter(delay, [this](monotonic_time) {
@@ -236,12 +242,13 @@
             .With("kept",
                   static_cast<std::int64_t>(
                       last_position_.value_or(fleet_position()).instances)));
+    // The same page would be answered alike.
+    if (answered || result.too_large) BeginCount();
     return ScheduleCount(kRecountDelay);
   }
   // The pages before were of another era.
   if (!list_after_.empty() && era != era_.Known()) {
-    members_.clear();
-    list_after_.clear();
+    BeginCount();
     return Count();
   }
   for (const stored_object& each : page->objects) {
@@ -293,8 +300,7 @@
 
 http_exchange_channel::result instance_registry::InKnownEra(
     http_exchange_channel::result result) {
-  if (result.failure.has_value()) return result;
-  if (era_.Observe(format_.DecodeEra(result.message)) == era_relation::kOlder) {
+  if (IsOfOlderEra(result, format_, era_)) {
     result.failure = channel_failure::kBroken;
     result.why = "an older era";
   }
