--- a/tests/unit/caller_port_test.cc
+++ b/tests/unit/caller_port_test.cc
@@ -195,6 +195,36 @@
         "[bad]");
 }
 
+// Guards against proper requests that are refused at the limits themselves.
+TEST_CASE("requests of exactly the limits are taken", "[port]") {
+  running_port port;
+  const std::string body(kBodyLimit, 'b');
+  const auto request = [](const std::string& fields, const std::string& rest) {
+    return "POST /a HTTP/1.1\r\n" + fields + "\r\n" + rest;
+  };
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const auto filled = [&](std::size_t head_bytes) {
+    const std::size_t rest = request("X: \r\n", "").size();
+    return request("X: " + std::string(head_bytes - rest, 'x') + "\r\n", "");
+  };
+  const auto [text, answer] = GENERATE_COPY(table<std::string, std::string>({
+      {request("Content-Length: 64\r\n", body), "[POST /a " + body + "]"},
+      {request(chunked, "40\r\n" + body + "\r\n0\r\n\r\n"),
+       "[POST /a " + body + "]"},
+      {request(chunked, "20;x=y\r\n" + body.substr(32) + "\r\n20\r\n" +
+                            body.substr(32) + "\r\n0\r\nT: 1\r\n\r\n"),
+       "[POST /a " + body + "]"},
+      {request("Expect: 100-Continue\r\nContent-Length: 0\r\n", ""),
+       "[POST /a ]"},
+      {filled(1024), "[POST /a ]"},
+  }));
+  CAPTURE(text);
+  CHECK(port.SendAndReceive({text + kLastRequest}) == answer + "[GET /last ]");
+  const std::size_t middle = text.size() / 2;
+  CHECK(port.SendAndReceive({text.substr(0, middle), text.substr(middle),
+                             kLastRequest}) == answer + "[GET /last ]");
+}
+
 TEST_CASE("a caller that expects 100-continue receives it", "[port]") {
   running_port port;
   const std::string continue_reply = "HTTP/1.1 100 Continue\r\n\r\n";
