--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -25,6 +25,10 @@
     # (index of a version, time at which an upstream saw that it is in force)
     effects: list = dataclasses.field(default_factory=list)
 
+    def by_program(self):
+        """Returns what a violation says after its rule."""
+        return " by the second program" * self.program
+
 
 class Instance:
     def __init__(self, name, zone, soak, starts=0):
--- a/tests/soak/restores.py
+++ b/tests/soak/restores.py
@@ -45,4 +45,5 @@
                 continue
             if ("entries", each.name) not in self.store.objects:
                 self.ledger.record_violation(
-                    "an instance enters a restored store again", each.name)
+                    "an instance enters a restored store again"
+                    + each.lifetime.by_program(), each.name)
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -51,9 +51,9 @@
         self.judged = 0          # requests of which a handling was in touch
 
     def violated(self, rule, request, text):
-        second = request.lifetime and request.lifetime.program
+        program = request.lifetime.by_program() if request.lifetime else ""
         self.record_violation(
-            rule + " by the second program" * bool(second),
+            rule + program,
             f"{request.attempt} {request.route} at {request.at()}: {text}")
 
     def send(self, number, routes, now):
