Count a drain time from before a process was held up

What callers would see: requests at an upstream later than its drain time after it was acknowledged to drain, where the instance was held up while the answer that told of it waited to be read.

Cause: the copy of the upstreams was confirmed as of the time at which the answer is read. The stop of an instance allows for that already (stall_monitor), the drain time did not.

Why this works: a confirmation is no later than the last turn of the loop before it was held up.

--- a/src/app/entry_instance.cc
+++ b/src/app/entry_instance.cc
@@ -78,6 +78,7 @@
              },
              [this](const auto& members) { registry_.OnPeerMembers(members); },
              [this](monotonic_time time) { directory_.ConfirmList(time); },
+             [this] { return stalls_.EarliestTime(loop_context::Now()); },
              [this](monotonic_time time) {
                directory_.OnStoreUnavailable(time);
              }}),
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -169,7 +169,9 @@
   return applied || relation != page_relation::kUnconnected;
 }
 
+// What is read after the process was held up may have waited all that time.
 void store_mirror::Confirm(std::size_t kind, monotonic_time time) {
+  if (handlers_.earliest_time) time = std::min(time, handlers_.earliest_time());
   if (!confirmations_.Confirm(kMirroredKinds[kind], time)) return;
   if (kind != kUpstreamsKind) return;
   store_unavailable_ = false;
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -38,6 +38,9 @@
     /// Called when the copy of the upstreams was known to be that of the store
     /// at `time`, before changes that came later are passed on; may be empty.
     std::function<void(monotonic_time time)> on_upstreams_confirmed;
+    /// Returns the earliest time at which an event that is handled now may have
+    /// happened: earlier than now if the process was held up; may be empty.
+    std::function<monotonic_time()> earliest_time;
     /// Called when the store was found unavailable; may be empty.
     std::function<void(monotonic_time time)> on_store_unavailable;
   };
--- a/tests/soak/drain_cases.py
+++ b/tests/soak/drain_cases.py
@@ -2,6 +2,7 @@
 open connections to the store have gone silent."""
 
 import asyncio
+import signal
 
 from .case_tier import DRAIN_TIMEOUT_S, ObedientSearcher, outcome
 from .faults import STABLE_WINDOW_S
@@ -10,6 +11,9 @@
 REQUEST_INTERVAL_S = 0.05
 # Until after the drain time, had it begun only with the late news.
 WATCHED_S = 7.0
+# Long enough for the answer to tell that the store had no news before.
+HELD_WATCH_S = 0.4
+HELD_UP_S = 1.2
 REPORT_INTERVAL_S = 1.2
 
 
@@ -108,5 +112,33 @@
         f"{len(leaving.arrivals)} arrivals, {len(late)} late: {late[:5]}")
 
 
+async def held_up_while_draining_is_acknowledged(tier):
+    """The answer that tells of a draining waits for a process that is held up.
+    The drain time began when the store gave it, not when it is read."""
+    await tier.start()
+    leaving = LeavingSearcher("i-leaving", "archive", "kigali", free_port(), 0,
+                              tier.ledger, slots=200)
+    await leaving.start()
+    await tier.store.put("servers", leaving.id, leaving.entry())
+    callers = asyncio.create_task(press(tier))
+    await asyncio.sleep(1.0)
+    await tier.searchers["archive"].crash()
+    await tier.store.watch_begun("servers")
+    await asyncio.sleep(HELD_WATCH_S)
+    tier.instance.signal(signal.SIGSTOP)
+    await asyncio.sleep(.02)
+    await tier.store.put("servers", leaving.id, leaving.entry("draining"))
+    acked_s = tier.now()
+    await asyncio.sleep(HELD_UP_S)
+    tier.instance.signal(signal.SIGCONT)
+    await asyncio.sleep(acked_s + WATCHED_S - tier.now())
+    callers.cancel()
+    late = [round(each - acked_s, 2) for each in leaving.arrivals
+            if each > acked_s + DRAIN_TIMEOUT_S]
+    return bool(leaving.arrivals) and not late, (
+        f"{len(leaving.arrivals)} arrivals, late: {late}")
+
+
 DRAIN_CASES = [silent_store_hides_draining, silent_store_hides_removal,
-               late_report_of_the_process_before]
+               late_report_of_the_process_before,
+               held_up_while_draining_is_acknowledged]
