Ask again at once for an answer that could not be taken

What callers would see: an instance that has missed more than 8 MB of configurations keeps the old one for up to 3.8 s longer than its bound.

Cause: a feed that fails leaves it to one other feed to find out when the store answers again. An answer that can't be taken was treated alike, so its list waited for the next answer of that other feed, a watch that is held for 3.8 s.

Evidence: 'restore_cases missed_large_3s' broke on joined with h-feed, with three requests up to 0.05 s late; the logs have state_unused why=too_large at 791.518 and the list at 795.340.

--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -272,7 +272,9 @@
     listed_objects_.clear();
     delay = std::max(delay, plan_.OnUnusable());
   }
-  if (listed_ && resume_required_ && active_) {
+  // A store that has answered is there, so no other feed has to find it first.
+  const bool deferred = next == next_call::kSame && listed_ && resume_required_;
+  if (deferred && active_) {
     deferred_delay_ = delay;
   } else {
     ScheduleCall(delay);
