List what restores in a row do to the feeds, and add such a fault

restore_in_series has the store away four times with moments between, as the runs of restore_store had by chance.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -255,7 +255,7 @@
                  self.rewrite_settings, self.config_storm, self.stall_log,
                  self.close_log, self.stop_without_store, self.reshard,
                  self.announce_leaving, self.turn_away, self.restore_store,
-                 self.refuse_some]
+                 self.refuse_some, self.restore_in_series]
         return {each.__name__: each for each in kinds}
 
     async def restore_once(self):
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -11,7 +11,7 @@
 NEVER = "never"       # a route of no version
 KEPT_NAMED = 50       # routes that are named after their version
 RECENT = 6
-PAUSES_S = [(0, .3), (.3, 2), (2, 6), (4, 9)]
+PAUSES_S = [(0, .3), (.3, 2), (.3, 2), (1, 4), (4, 8)]
 PROBE_INTERVAL_S = 0.5
 CALLERS = 3
 
--- a/tests/soak/restores.py
+++ b/tests/soak/restores.py
@@ -9,6 +9,7 @@
 MAX_AWAY_S = 1.5
 MAX_COPY_AGE_S = 8.0
 MAX_REWRITE_S = 1.5
+SETTLED_S = 7.0
 
 
 class Restores:
@@ -34,6 +35,25 @@
             self.store_available_since = self.now()
         await self.check_entered(self.store.era)
 
+    async def restore_in_series(self):
+        """The store is away several times, and back only until an instance
+        watches again; then the configuration changes in calm."""
+        if self.store.outage or not self.store_is_stable():
+            return
+        for self.store.outage in ["busy", "busy", "busy", "silent"]:
+            await asyncio.sleep(self.random.uniform(.2, .4))
+            await self.store.load_copy(self.random.uniform(.5, 2))
+            await self.store.write_again(0)
+            self.store.outage = None
+            self.store_available_since = self.now()
+            try:
+                await asyncio.wait_for(self.store.watch_begun("evacuations"),
+                                       1)
+            except asyncio.TimeoutError:
+                pass
+        await self.publish()
+        await asyncio.sleep(SETTLED_S)
+
     async def check_entered(self, era):
         began = self.now()
         await asyncio.sleep(ENTERED_TIMEOUT_S)
