--- a/tests/unit/feed_plan_test.cc
+++ b/tests/unit/feed_plan_test.cc
@@ -121,6 +121,16 @@
   }
 }
 
+// Guards against a list that hangs since the store was restored once, and is
+// not given up when it is restored again.
+TEST_CASE("a new era gives up a list of the one before", "[feed][era]") {
+  feed_plan plan = WatchingPlan();
+  CHECK(plan.StartEra(4));
+  CHECK(plan.StartEra(5));
+  CHECK_FALSE(plan.StartEra(5));
+  CHECK(plan.Next().is_list);
+}
+
 TEST_CASE("the first era restarts nothing", "[feed][era]") {
   feed_plan plan(kWait);
   CHECK_FALSE(plan.StartEra(5));
--- a/tests/unit/store_mirror_test.cc
+++ b/tests/unit/store_mirror_test.cc
@@ -197,6 +197,31 @@
 // The feed of closed data centres resumes the others once the store answers
 // again. It is between two calls when the feed of upstreams fails, and never
 // fails itself. The failed feed must resume all the same.
+// Guards against a configuration that comes seconds late, because its feed
+// waits for the end of another kind's watch after a second call that failed.
+TEST_CASE("a feed that fails again does not wait for another one's watch",
+          "[mirror]") {
+  loop_context loop;
+  store_standin store(loop);
+  const mirrored_instance instance(loop, store.Address(), "entry-1", false);
+  REQUIRE(RunUntil(loop, [&] {
+    return store.WaitingWatchCount("servers") == 1 &&
+           store.WaitingWatchCount("evacuations") == 1;
+  }));
+  std::size_t refusals = 3;
+  store.SetAnswerEdit([&](const auto& call, const std::string& answer) {
+    if (call.kind != "servers" || refusals == 0) return answer;
+    --refusals;
+    return store.Answer(503, "");
+  });
+  store.RefuseWaitingWatches("servers");
+  store.Put("servers", "i-1", json::object());
+  const monotonic_time start = loop_context::Now();
+  CHECK(RunUntil(loop, [&] { return instance.upstreams.count("i-1") == 1; }));
+  CHECK(refusals == 0);
+  CHECK(loop_context::Now() - start < milliseconds(2500));
+}
+
 TEST_CASE("a watch that fails alone resumes", "[mirror]") {
   loop_context loop;
   store_standin store(loop);
