Let a feed that fails again try again by itself

Cause: after a failed call a feed leaves it to the feed of closed data centres to find out when the store answers. That one was told of a first failure only. After a second one it holds a watch, for 3.8 s, and the feed that failed waits for its answer.

Why this works: every failure asks whether the other feed is trying; if it is not, the feed calls again after its own backoff of 0.8 s at most. While the store answers nobody, one feed calls, as before.

--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -281,7 +281,7 @@
   }
   if (origin == failure_origin::kStore && handlers_.on_unavailable)
     handlers_.on_unavailable();
-  if (first_failure && handlers_.on_lost) handlers_.on_lost();
+  if (handlers_.on_lost) handlers_.on_lost(first_failure);
 }
 
 void store_feed::ScheduleCall(milliseconds delay) {
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -39,8 +39,9 @@
     std::function<bool(const store_position& from, const store_page&,
                        const answer_time&)>
         on_events;
-    /// Called when the store stops answering; may be empty.
-    std::function<void()> on_lost;
+    /// Called after each failed call, the first one after an answer or a
+    /// further one; may be empty.
+    std::function<void(bool first)> on_lost;
     /// Called after each answer of the store; may be empty.
     std::function<void()> on_answer;
     /// Called when the store does not serve a call on a new connection; may be
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -93,7 +93,7 @@
     return OnStorePage(kind, page_content::kChanges, from, page, time);
   };
   result.on_unavailable = [this] { OnStoreUnavailable(); };
-  result.on_lost = [this] { OnStoreLost(); };
+  result.on_lost = [this](bool first) { OnStoreLost(first); };
   result.on_unused = [this, kind](unused_reason why,
                                   const store_position& arrived) {
     unused_.Add(kMirroredKinds[kind], why, kinds_[kind].objects.At(), arrived);
@@ -292,10 +292,12 @@
   links_.Send(link, EncodeMirrorMessage(message));
 }
 
-void store_mirror::OnStoreLost() {
-  for (mirrored_kind& each : kinds_) each.feed.FailPendingWatch();
-  // This feed is between two calls, so it cannot detect yet whether the store
-  // answers.
+void store_mirror::OnStoreLost(bool first) {
+  if (first) {
+    for (mirrored_kind& each : kinds_) each.feed.FailPendingWatch();
+  }
+  // This feed is answered or between two calls, so it does not come to try
+  // again for the others soon.
   if (!kinds_[kLivenessKind].feed.Lost()) ResumeFeeds();
   UpdateSources(loop_context::Now());
 }
--- a/src/app/store_mirror.h
+++ b/src/app/store_mirror.h
@@ -115,8 +115,8 @@
   std::optional<store_position> CurrentPosition(
       std::size_t kind, const store_position& position) const;
   void Send(instance_links::id link, const mirror_message& message);
-  /// Handles a failed call of one feed.
-  void OnStoreLost();
+  /// Handles a failed call of one feed, the first one or a further one.
+  void OnStoreLost(bool first);
   void ResumeFeeds();
 
   void ScheduleTick();
