Give up a list of an era at the next one

A list that hung in a silent outage was not given up when the store was back in a new era, as none had been read in the era before; it took 2 s to fail.

Cause: feed_plan::StartEra told by the revision whether there was anything to give up, and that is 0 after a restore until a list is read.

Evidence: 'a new era gives up a list of the one before' failed and passes.

Why this works: only before the first era, a pending call belongs to none.

--- a/src/coordination/feed_plan.cc
+++ b/src/coordination/feed_plan.cc
@@ -93,11 +93,11 @@
 // The next position of the feed must be of the new era, or later.
 bool feed_plan::StartEra(std::int64_t era) {
   if (position_.era >= era) return false;
-  const bool had_read = position_.revision > 0;
+  const bool had_asked = position_.era != kNoEra || position_.revision > 0;
   position_ = {era, 0};
   is_listing_ = true;
   last_name_.clear();
-  return had_read;
+  return had_asked;
 }
 
 milliseconds feed_plan::OnFailure() {
