--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -217,7 +217,8 @@
   const auto changes = source.empty() ? own.objects.ApplyFromStore(page)
                                       : own.objects.Apply(page);
   if (!changes.has_value()) {
-    NoteUnused(kind, page);
+    // Pages of several instances overlap.
+    if (source.empty() || own.objects.At() < page.to) NoteUnused(kind, page);
     return false;
   }
   own.source = source;
@@ -244,14 +245,8 @@
   } else if (!complete || !page.objects.empty()) {
     followers_.Send(page, CopyBytes());
   }
-  if (!changes->empty()) {
-    std::vector<stored_object> objects;
-    objects.reserve(changes->size());
-    for (const mirrored_object& each : *changes) {
-      objects.push_back(ToStoredObject(each));
-    }
-    handlers_.on_changes(kMirroredKinds[kind], objects);
-  }
+  if (!changes->empty())
+    handlers_.on_changes(kMirroredKinds[kind], ToStoredObjects(*changes));
   if (!complete) UpdateSources(loop_context::Now());
   return true;
 }
--- a/src/protocol/mirror_codec.cc
+++ b/src/protocol/mirror_codec.cc
@@ -281,6 +281,15 @@
   return result;
 }
 
+std::vector<stored_object> ToStoredObjects(
+    const std::vector<mirrored_object>& objects) {
+  std::vector<stored_object> result;
+  result.reserve(objects.size());
+  for (const mirrored_object& each : objects)
+    result.push_back(ToStoredObject(each));
+  return result;
+}
+
 stored_object EncodeMember(const fleet_member& member) {
   stored_object object;
   object.name = member.name;
--- a/src/protocol/mirror_codec.h
+++ b/src/protocol/mirror_codec.h
@@ -29,6 +29,8 @@
 /// Reverses ToMirroredObject. A document that is not valid CBOR
 /// becomes an unreadable object.
 stored_object ToStoredObject(const mirrored_object& object);
+std::vector<stored_object> ToStoredObjects(
+    const std::vector<mirrored_object>& objects);
 
 /// Encodes the entry that an instance writes about itself to the store.
 stored_object EncodeMember(const fleet_member& member);
