Show five states that copies of the store still get stuck in

A copy ahead of its store takes changes for overtaken ones; a feed of one kind that fails holds up the others; sources without an era keep an instance in the state before a restore that it knows of; a follower confirms its copy by a source whose own copy is unconfirmed; an earlier process that has said it leaves counts as ready before the 4 s. No code of the product is changed.

--- a/tests/unit/late_report_test.cc
+++ b/tests/unit/late_report_test.cc
@@ -217,4 +217,21 @@
   }
 }
 
+// Guards against requests to an upstream that has left, because a late report
+// of the process before counts within less than the time to prove it.
+TEST_CASE("an earlier process proves no sooner that it lives for having left",
+          "[directory][leaving]") {
+  desk tier;
+  const monotonic_time start = loop_context::Now();
+  tier.Receive(UpstreamReport("ready", 1));
+  tier.Receive(UpstreamReport("draining", 2));
+  tier.DropDrained();
+  tier.Receive(UpstreamReport("draining", 6, kBefore));
+  tier.Receive(UpstreamReport("ready", 7, kBefore));
+  const monotonic_time early = start + std::chrono::milliseconds(3500);
+  tier.directory.ConfirmList(early);
+  tier.applier.ApplyDeferred(early);
+  CHECK_FALSE(tier.IsReady());
+}
+
 }  // namespace papayaglade
--- a/tests/unit/vain_answers_test.cc
+++ b/tests/unit/vain_answers_test.cc
@@ -231,4 +231,114 @@
   CHECK(single.lists == 2);
 }
 
+// Guards against a copy that drops every change for good, as its position is
+// ahead of a store that has gone back to a state with the same objects.
+TEST_CASE("changes of a store that went back to what the copy holds count",
+          "[mirror][vain]") {
+  loop_context loop;
+  store_standin store(loop);
+  store.SetEra(kNoEra);
+  store.Put("servers", "i-1", json::object());
+  const mirrored_instance instance(loop, store.Address(), "entry-1", false);
+  const auto copy = store.Copy();
+  store.Put("servers", "i-2", json::object());
+  REQUIRE(RunUntil(loop, [&] { return instance.upstreams.count("i-2") == 1; }));
+  store.Delete("servers", "i-2");
+  const auto is_calm = [&] {
+    return instance.upstreams == std::set<std::string>{"i-1"} &&
+           store.WaitingWatchCount("servers") == 1;
+  };
+  REQUIRE(RunUntil(loop, is_calm));
+  const std::size_t lists = store.ListCount("servers");
+  GoBack(store, copy);
+  REQUIRE(RunUntil(
+      loop, [&] { return store.ListCount("servers") > lists && is_calm(); }));
+  store.Put("servers", "i-3", json::object());
+  CHECK(RunUntil(loop, [&] {
+    return instance.upstreams == std::set<std::string>{"i-1", "i-3"};
+  }));
+}
+
+// Guards against configurations that are not asked for, for as long as one
+// other kind of the store's objects cannot be read.
+TEST_CASE("a kind that cannot be read keeps no other one from being read",
+          "[mirror][vain]") {
+  loop_context loop;
+  store_standin store(loop);
+  const mirrored_instance instance(loop, store.Address(), "entry-1", false);
+  REQUIRE(RunUntil(loop, [&] {
+    return instance.mirror->Complete() &&
+           store.WaitingWatchCount("evacuations") == 1;
+  }));
+  bool spoilt = false;
+  store.SetAnswerEdit([&](const auto& call, const std::string& answer) {
+    if (call.kind != "evacuations") return answer;
+    spoilt = true;
+    return store.Answer(200, "{");
+  });
+  store.Put("evacuations", "kigali", json::object());
+  REQUIRE(RunUntil(loop, [&] { return spoilt; }));
+  RunFor(loop, milliseconds(100));
+  store.Put("config", "main", json::object());
+  store.Put("servers", "i-1", json::object());
+  CHECK(RunUntil(loop, [&] {
+    return instance.received.count({stored_kind::kConfiguration, "main"}) ==
+               1 &&
+           instance.upstreams.count("i-1") == 1;
+  }));
+}
+
+// Guards against an instance that knows of a restore and goes on with the state
+// before it, as its sources are of a version that names no era.
+TEST_CASE("no source without an era hides a restore that is known",
+          "[mirror][vain]") {
+  loop_context loop;
+  store_standin before(loop);
+  before.SetEra(kNoEra);
+  before.Put("servers", "i-old", json::object());
+  store_standin restored(loop);
+  restored.SetEra(2);
+  restored.Put("servers", "i-new", json::object());
+  const mirrored_instance first(loop, before.Address(), "entry-1", true);
+  const mirrored_instance second(loop, before.Address(), "entry-2", true);
+  mirrored_instance newer(loop, restored.Address(), "entry-3", true);
+  std::vector<fleet_member> members{first.Member("entry-1"),
+                                    second.Member("entry-2"),
+                                    newer.Member("entry-3")};
+  members[0].cores = members[1].cores = 4;
+  for (const auto* each : {&first, &second, &std::as_const(newer)})
+    each->mirror->SetMembers(members);
+  REQUIRE(RunUntil(loop, [&] { return newer.upstreams.count("i-old") == 1; }));
+  REQUIRE(restored.WatchCount() == 0);
+  newer.era.Observe(1);
+  newer.era.Observe(2);
+  CHECK(RunUntil(loop, [&] { return newer.upstreams.count("i-new") == 1; }));
+}
+
+// Guards against a copy that counts as confirmed, because the instance that it
+// follows answers, although that one's own copy is not confirmed any more.
+TEST_CASE("a follower's copy is confirmed no later than that of its sources",
+          "[mirror][vain]") {
+  loop_context loop;
+  store_standin store(loop);
+  const auto instances = MakeInstances(loop, store.Address(), 4);
+  REQUIRE(RunUntil(loop, [&] { return AllKnow(instances, {}); }));
+  bool spoilt = false;
+  store.SetAnswerEdit([&](const auto& call, const std::string& answer) {
+    if (call.kind != "config") return answer;
+    spoilt = true;
+    return store.Answer(200, R"({"events":[],"items":[],"at":1})");
+  });
+  store.Put("config", "main", json::object());
+  REQUIRE(RunUntil(loop, [&] { return spoilt; }));
+  RunFor(loop, milliseconds(3000));
+  for (const auto& each : instances) {
+    const copy_status copy =
+        each->mirror->StatusOf(stored_kind::kConfiguration);
+    INFO("from " << copy.source);
+    REQUIRE(copy.confirmed_age.has_value());
+    CHECK(copy.confirmed_age->count() >= 2500);
+  }
+}
+
 }  // namespace papayaglade
