Let an earlier process that has left wait the whole time again

What callers would see: requests at an upstream that has left, because a late draining and then a late ready of the process before it were added up to one waiting time: ready 3.5 s later, before the 4 s were over.

--- a/src/app/store_object_applier.cc
+++ b/src/app/store_object_applier.cc
@@ -173,15 +173,16 @@
 }
 
 // Further reports of the process give it no longer to wait. One that leaves is
-// believed in any case before the drain time is over.
+// believed in any case before the drain time is over, and has proved nothing.
 void store_object_applier::KeepEarlierProcess(
     const stored_object& object, const upstream_record& record,
     const std::optional<earlier_process>& before, monotonic_time now) {
   monotonic_time until =
       record.leaving ? directory_.LeavingSince(now) + directory_.DrainTime()
                      : now + kProofTime;
-  if (before.has_value() &&
-      before->record.start_time_ms == record.start_time_ms) {
+  const bool goes_on = before.has_value() &&
+                       before->record.start_time_ms == record.start_time_ms;
+  if (goes_on && (record.leaving || !before->record.leaving)) {
     until = std::min(until, before->until);
   }
   earlier_processes_[object.name] = {object, record, until};
