Let a kind that cannot be read hold up no other one

What callers would see: no change of a configuration or an upstream any more, for as long as the list of closed data centres cannot be read, is refused as a question or is of an older era (CONFIG, DENIED, DRAIN).

Cause: an answer that can't be taken counted as a sign that the store is lost. The other feeds gave up their watches and waited for an answer of that one feed that could be taken.

Why this works: the store has answered, so the others go on.

--- a/src/app/store_feed.cc
+++ b/src/app/store_feed.cc
@@ -281,7 +281,12 @@
   }
   if (origin == failure_origin::kStore && handlers_.on_unavailable)
     handlers_.on_unavailable();
-  if (handlers_.on_lost) handlers_.on_lost(first_failure);
+  // The other feeds need not doubt a store that has answered.
+  if (next == next_call::kList) {
+    if (handlers_.on_answer) handlers_.on_answer(answer_kind::kFailure);
+  } else if (handlers_.on_lost) {
+    handlers_.on_lost(first_failure);
+  }
 }
 
 void store_feed::ScheduleCall(milliseconds delay) {
@@ -306,7 +311,7 @@
                    .With("kind", StoredKindName(kind_))
                    .With("revision", plan_.Position().revision));
   }
-  if (handlers_.on_answer) handlers_.on_answer();
+  if (handlers_.on_answer) handlers_.on_answer(answer_kind::kCurrent);
 }
 
 }  // namespace papayaglade
--- a/src/app/store_feed.h
+++ b/src/app/store_feed.h
@@ -30,6 +30,10 @@
     /// the page have only just been made.
     bool was_held = false;
   };
+  enum class answer_kind {
+    kCurrent,  ///< Of the known era, whether it is used or not.
+    kFailure,  ///< It counts as a failed call, but the store is there.
+  };
   struct handlers {
     /// Receives all objects as of the position of the page. Returns false if
     /// the page cannot be taken.
@@ -43,7 +47,7 @@
     /// further one; may be empty.
     std::function<void(bool first)> on_lost;
     /// Called after each answer of the store; may be empty.
-    std::function<void()> on_answer;
+    std::function<void(answer_kind)> on_answer;
     /// Called when the store does not serve a call on a new connection; may be
     /// empty. An open connection may also fail for a reason of its own.
     std::function<void()> on_unavailable;
--- a/src/app/store_mirror.cc
+++ b/src/app/store_mirror.cc
@@ -98,8 +98,9 @@
                                   const store_position& arrived) {
     unused_.Add(kMirroredKinds[kind], why, kinds_[kind].objects.At(), arrived);
   };
-  result.on_answer = [this, kind] {
-    last_answer_ = loop_context::Now();
+  result.on_answer = [this, kind](store_feed::answer_kind answer) {
+    if (answer == store_feed::answer_kind::kCurrent)
+      last_answer_ = loop_context::Now();
     if (kind == kLivenessKind) ResumeFeeds();
   };
   return result;
