--- a/src/coordination/feed_plan.h
+++ b/src/coordination/feed_plan.h
@@ -55,8 +55,8 @@
   bool SkipTo(const store_position& position);
 
   /// Begins with a list if the position is of an era before `era`, to which no
-  /// watch can be continued. Returns whether a call that is pending may have been
-  /// made in another era.
+  /// watch can be continued. Returns whether a call that is pending may have
+  /// been made in another era.
   bool StartEra(std::int64_t era);
 
   /// Makes the next call a list.
