--- a/tests/soak/drain_cases.py
+++ b/tests/soak/drain_cases.py
@@ -44,14 +44,21 @@
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
 
-async def late_news(tier, leave):
-    """The only upstream of a service that still serves leaves while the open
-    connections to the store are silent. It gets nothing once its drain time
-    is over and the instance is in touch with the store again."""
+async def start_with_leaving(tier):
+    """Starts the tier with another upstream of its service, which is to leave
+    and has not written its entry yet."""
     await tier.start()
     leaving = LeavingSearcher("i-leaving", "archive", "kigali", free_port(), 0,
                               tier.ledger, slots=200)
     await leaving.start()
+    return leaving
+
+
+async def late_news(tier, leave):
+    """The only upstream of a service that still serves leaves while the open
+    connections to the store are silent. It gets nothing once its drain time
+    is over and the instance is in touch with the store again."""
+    leaving = await start_with_leaving(tier)
     await tier.store.put("servers", leaving.id, leaving.entry())
     callers = asyncio.create_task(press(tier))
     await asyncio.sleep(1.0)
@@ -85,11 +92,8 @@
     """The only upstream of a service has started again under its id, and it
     drains. The store executes a report of the process before it late, until
     the next report of the new one."""
-    await tier.start()
+    leaving = await start_with_leaving(tier)
     await tier.searchers["archive"].crash()
-    leaving = LeavingSearcher("i-leaving", "archive", "kigali", free_port(), 0,
-                              tier.ledger, slots=200)
-    await leaving.start()
     before = leaving.entry()
     await tier.store.put("servers", leaving.id, before)
     leaving.born += 5000
@@ -115,10 +119,7 @@
 async def held_up_while_draining_is_acknowledged(tier):
     """The answer that tells of a draining waits for a process that is held up.
     The drain time began when the store gave it, not when it is read."""
-    await tier.start()
-    leaving = LeavingSearcher("i-leaving", "archive", "kigali", free_port(), 0,
-                              tier.ledger, slots=200)
-    await leaving.start()
+    leaving = await start_with_leaving(tier)
     await tier.store.put("servers", leaving.id, leaving.entry())
     callers = asyncio.create_task(press(tier))
     await asyncio.sleep(1.0)
